--- a/src/bin/cypresspass-simhost/main.rs
+++ b/src/bin/loomlb-simhost/main.rs
@@ -3,15 +3,14 @@
 mod wire;
 
 use base64::Engine as _;
-use cypresspass::{
-    Action, ClassId, Dispatcher, Ended, Event, KeyId, Nanos, Note, PeerId, Request, RequestId, TenantId,
-    WorkerId,
+use loomlb::boot::{Names, key};
+use loomlb::{
+    Action, ClassId, Dispatcher, Ended, Event, Nanos, Note, PeerId, Request, RequestId, TenantId, WorkerId,
 };
-use rustc_hash::{FxHashMap, FxHasher};
-use std::hash::Hasher;
+use rustc_hash::FxHashMap;
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use wire::{Batch, NameOrZero, NamedEntry, Names, Outbox, RawAction, RawEvent, Reply};
+use wire::{Batch, NameOrZero, NamedEntry, Outbox, RawAction, RawEvent, Reply};
 
 struct Instance {
     dispatcher: Dispatcher,
@@ -30,12 +29,6 @@
     value.ok_or_else(|| format!("{field}: missing"))
 }
 
-fn key(text: &str) -> KeyId {
-    let mut hasher = FxHasher::default();
-    hasher.write(text.as_bytes());
-    KeyId(hasher.finish())
-}
-
 impl Host {
     fn line(&mut self, line: &[u8]) -> Result<Reply, String> {
         let batch: Batch = serde_json::from_slice(line).map_err(|e| explain(line, &e))?;
@@ -81,7 +74,7 @@
         }
         let instance =
             self.instances.get_mut(&who).ok_or_else(|| format!("dispatcher {who} was not started"))?;
-        let event = instance.names.event(e, &self.rosters)?;
+        let event = Instance::event(&instance.names, e, &self.rosters)?;
         let actions = &mut self.actions;
         let handled = catch_unwind(AssertUnwindSafe(|| instance.dispatcher.handle(now, event, actions)));
         out.extend(actions.drain(..).map(RawAction::from));
@@ -94,8 +87,12 @@
     }
 }
 
-impl Names {
-    fn event(&self, e: RawEvent, rosters: &FxHashMap<usize, Vec<NamedEntry>>) -> Result<Event, String> {
+impl Instance {
+    fn event(
+        names: &Names,
+        e: RawEvent,
+        rosters: &FxHashMap<usize, Vec<NamedEntry>>,
+    ) -> Result<Event, String> {
         let id = || need(e.req, "req").map(RequestId);
         let attempt = || need(e.hop, "hop");
         let ended = || {
@@ -107,12 +104,14 @@
         Ok(match &*e.op {
             "ORDER" => {
                 let tenant = match &e.user_group {
-                    Some(NameOrZero::Name(name)) => self.tenants.iter().position(|t| t == name).map(TenantId),
+                    Some(NameOrZero::Name(name)) => {
+                        names.tenants.iter().position(|t| t == name).map(TenantId)
+                    }
                     _ => None,
                 };
                 Event::Request(Request {
                     id: id()?,
-                    class: ClassId(self.class(need(e.category.as_deref(), "category")?)),
+                    class: ClassId(names.class(need(e.category.as_deref(), "category")?)),
                     tenant,
                     key: e.path_key.as_deref().map(key),
                     slots: e.slots.unwrap_or(1.0),
@@ -140,7 +139,13 @@
                     let roster = need(e.roster_id, "roster_id")?;
                     let entries =
                         rosters.get(&roster).ok_or_else(|| format!("roster_id: no list {roster}"))?;
-                    Event::Workers { kind, entries: entries.iter().map(|e| self.worker(e)).collect() }
+                    Event::Workers {
+                        kind,
+                        entries: entries
+                            .iter()
+                            .map(|e| names.worker(&e.zone, &e.kind, e.worker.clone()))
+                            .collect(),
+                    }
                 }
             },
             "PING_RESULT" => Event::Probed { worker: WorkerId(need(e.worker, "worker")?), ended: ended()? },
@@ -182,7 +187,7 @@
             Ok(_) if line.trim_ascii().is_empty() => continue,
             Ok(_) => {}
             Err(e) => {
-                eprintln!("cypresspass-simhost: standard input: {e}");
+                eprintln!("loomlb-simhost: standard input: {e}");
                 return std::process::ExitCode::FAILURE;
             }
         }
@@ -193,7 +198,7 @@
             output.write_all(&text).and_then(|()| output.flush()).map_err(|e| format!("standard output: {e}"))
         });
         if let Err(e) = written {
-            eprintln!("cypresspass-simhost: {e}");
+            eprintln!("loomlb-simhost: {e}");
             return std::process::ExitCode::FAILURE;
         }
     }
--- /dev/null
+++ b/src/boot.rs
@@ -0,0 +1,292 @@
+//! The settings that a dispatcher gets at its start, and their one parser. Unknown keys are skipped.
+
+use crate::api::*;
+use rustc_hash::FxHasher;
+use serde::Deserialize;
+use std::hash::Hasher;
+
+/// An instance's names, in the order of its settings. What is not among them is numbered behind them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The classes.
+    pub classes: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+fn place(names: &[String], name: &str) -> usize {
+    names.iter().position(|n| n == name).unwrap_or(names.len())
+}
+
+impl Names {
+    /// The worker with its zone and kind numbered as in the settings.
+    pub fn worker(&self, zone: &str, kind: &str, worker: Worker) -> Worker {
+        let (zone, kind) = (place(&self.zones, zone), place(&self.kinds, kind));
+        Worker { zone: ZoneId(zone), kind: KindId(kind), ..worker }
+    }
+    /// The number of a class; that of no class if the name is unknown.
+    pub fn class(&self, name: &str) -> usize {
+        place(&self.classes, name)
+    }
+}
+
+/// The key that stands for a subject's name.
+pub fn key(text: &str) -> KeyId {
+    let mut hasher = FxHasher::default();
+    hasher.write(text.as_bytes());
+    KeyId(hasher.finish())
+}
+
+/// The settings as they are sent at a start, in the simulator's words.
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+pub struct BootInfo {
+    balancers: u32,
+    rank: u32,
+    my_zone: String,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    classes: Vec<RawClass>,
+    tenants: Vec<RawTenant>,
+    over_share_worth: f64,
+    worth_by: String,
+    registry_mode: String,
+    weights: String,
+    tick: Nanos,
+    load_report: LoadReport,
+    ceilings: Ceilings,
+    obligations: Obligations,
+    penalties: Penalties,
+    extra: Extra,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+struct RawClass {
+    name: String,
+    aim: Nanos,
+    aim_stretch: f64,
+    give_up: Nanos,
+    worth: f64,
+    late_worth: f64,
+    effect: String,
+    group: String,
+    repeat_window: Nanos,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+struct RawTenant {
+    name: String,
+    quota_rps: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+struct LoadReport {
+    fields: Vec<String>,
+    how: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+struct Ceilings {
+    cancel: bool,
+    dial_timeout: Nanos,
+    keepalive: Nanos,
+    max_attempts: u32,
+    max_open: usize,
+    max_retry_after: Nanos,
+    may_tell: bool,
+    probing: bool,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+impl Default for Ceilings {
+    fn default() -> Self {
+        Ceilings {
+            cancel: false,
+            dial_timeout: 1_000_000_000,
+            keepalive: 5_000_000_000,
+            max_attempts: 1,
+            max_open: 20_000,
+            max_retry_after: 0,
+            may_tell: false,
+            probing: false,
+            retry_after: false,
+            second_copies: false,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+struct Obligations {
+    cold: Nanos,
+    cold_from: f64,
+    drain_grace: Nanos,
+    must_ask_in: Nanos,
+    overload_factor: f64,
+    overload_for: Nanos,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+struct Penalties {
+    cross_zone: f64,
+    waste: f64,
+    late_fail: f64,
+    peer: f64,
+    probe: f64,
+    handshake: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(default)]
+struct Extra {
+    class_kind: Vec<i64>,
+    class_stretch: Vec<f64>,
+    progress: Nanos,
+    tells_start: bool,
+    queue_order: String,
+    report_x0: String,
+}
+
+impl BootInfo {
+    /// The settings and names that these words stand for.
+    pub fn read(&self) -> (Settings, Names) {
+        let classes = self.classes.iter().enumerate().map(|(i, c)| Class {
+            aim: c.aim,
+            stretch: self.extra.class_stretch.get(i).copied().unwrap_or(c.aim_stretch),
+            deadline: c.give_up,
+            worth: c.worth,
+            late_worth: c.late_worth,
+            effect: match (&*c.effect, &*c.group) {
+                ("idempotent", _) => Effect::Safe,
+                ("deduplicated", "all") => Effect::Keyed(Group::All),
+                ("deduplicated", "zone") => Effect::Keyed(Group::Zone),
+                ("deduplicated", "cell") => Effect::Keyed(Group::Cell),
+                _ => Effect::Unsafe,
+            },
+            window: c.repeat_window,
+            kind: self.extra.class_kind.get(i).and_then(|&k| usize::try_from(k).ok()).map(KindId),
+        });
+        let settings = Settings {
+            dispatchers: self.balancers,
+            me: PeerId(self.rank),
+            zone: ZoneId(place(&self.zones, &self.my_zone)),
+            zones: self.zones.len(),
+            kinds: self.kinds.len(),
+            classes: classes.collect(),
+            tenants: self.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_rps }).collect(),
+            over_share_worth: self.over_share_worth,
+            worth_by_work: self.worth_by == "work",
+            queue_order: match &*self.extra.queue_order {
+                "backfill" => QueueOrder::Backfill,
+                "priority" => QueueOrder::Priority,
+                _ => QueueOrder::Fifo,
+            },
+            tells_start: self.extra.tells_start,
+            progress: self.extra.progress,
+            free_slots_reported: self.extra.report_x0 == "free slots",
+            reports: match &*self.load_report.how {
+                "inline" => Reports::Answers,
+                "on_probe" => Reports::Probes,
+                _ => Reports::None,
+            },
+            weights: match &*self.weights {
+                "nominal" | "rough" => Weights::Size,
+                "live" => Weights::Live,
+                _ => Weights::None,
+            },
+            ask_for_list: self.registry_mode == "subscribe",
+            tick: self.tick,
+            limits: Limits {
+                max_attempts: self.ceilings.max_attempts,
+                cancel: self.ceilings.cancel,
+                second_copies: self.ceilings.second_copies,
+                probes: self.ceilings.probing,
+                peers: self.ceilings.may_tell,
+                max_retry_after: if self.ceilings.retry_after { self.ceilings.max_retry_after } else { 0 },
+            },
+            rules: Rules {
+                cold: self.obligations.cold,
+                cold_from: self.obligations.cold_from,
+                fall_multiple: self.obligations.overload_factor,
+                fall: self.obligations.overload_for,
+                ask_within: self.obligations.must_ask_in,
+            },
+            prices: Prices {
+                cross_zone: self.penalties.cross_zone,
+                waste: self.penalties.waste,
+                late_fail: self.penalties.late_fail,
+                peer: self.penalties.peer,
+                probe: self.penalties.probe,
+                handshake: self.penalties.handshake,
+            },
+        };
+        let names = Names {
+            classes: self.classes.iter().map(|c| c.name.clone()).collect(),
+            tenants: self.tenants.iter().map(|t| t.name.clone()).collect(),
+            zones: self.zones.clone(),
+            kinds: self.kinds.clone(),
+        };
+        (settings, names)
+    }
+    /// The figures that the network code keeps to.
+    pub fn terms(&self) -> Terms {
+        Terms {
+            dial_timeout: self.ceilings.dial_timeout,
+            keepalive: self.ceilings.keepalive,
+            drain_grace: self.obligations.drain_grace,
+            max_open: self.ceilings.max_open,
+            report_fields: self.load_report.fields.clone(),
+        }
+    }
+}
+
+/// What the settings say to the network code alone.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// A connection that is not up in this time counts as none.
+    pub dial_timeout: Nanos,
+    /// Workers close a connection that was idle for this long.
+    pub keepalive: Nanos,
+    /// Sends to a draining or gone worker end within this time.
+    pub drain_grace: Nanos,
+    /// Open requests at most.
+    pub max_open: usize,
+    /// Names of the values in a load report, as the settings call them.
+    pub report_fields: Vec<String>,
+}
+
+/// Load values that sites write in words of their own, and the settings' word for each.
+const REPORT_WORDS: [(&str, &str); 6] = [
+    ("inflight", "rif"),
+    ("queue", "q"),
+    ("util", "busy"),
+    ("latency_ms", "lat_ms"),
+    ("qps", "rate"),
+    ("eps", "fail_rate"),
+];
+
+impl Terms {
+    /// Takes one named value into a report, if the settings name it; sites' words for it count as well.
+    pub fn report(&self, report: &mut Report, name: &str, value: f64) {
+        let name = REPORT_WORDS.iter().find(|w| w.0 == name).map_or(name, |w| w.1);
+        if !self.report_fields.iter().any(|f| f == name) {
+            return;
+        }
+        match name {
+            "rif" => report.in_flight = Some(value),
+            "q" => report.queue = Some(value),
+            "busy" => report.busy = Some(value),
+            "lat_ms" => report.latency_ms = Some(value),
+            "x0" => report.free_slots = Some(value),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,158 @@
+//! The configuration: the one place where it is read, checked and given defaults.
+
+use loomlb::boot::{BootInfo, Names, Terms};
+use loomlb::{PeerId, Settings};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Descriptors kept aside for the runtime, the log, discovery, peers and the listener itself.
+const RESERVED: usize = 32;
+/// Fewer descriptors than this serve nobody.
+const FEWEST: usize = 64;
+
+/// All that the program was told, checked.
+#[derive(Debug)]
+pub struct Config {
+    /// This scheduler's name.
+    pub name: String,
+    /// Where clients and workers connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
+    /// Connections that may be open to the listener.
+    pub inbound: usize,
+    /// Connections that may be open to targets.
+    pub outbound: usize,
+    /// Bytes that the bodies of open flows may take together.
+    pub body_bytes: usize,
+    /// Where peers' datagrams arrive, if there are peers.
+    pub peer_listen: Option<SocketAddr>,
+    /// The schedulers of the tier by number, this one included.
+    pub peers: Vec<SocketAddr>,
+    /// The address of all of them.
+    pub peers_all: Option<SocketAddr>,
+    /// The target group as it was last known, in discovery's form.
+    pub known: serde_json::Value,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names in the settings.
+    pub names: Names,
+    /// What the settings say to the network code.
+    pub terms: Terms,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Raw {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<serde_json::Value>,
+    limits: Limits,
+    peer_listen: Option<String>,
+    peers: Vec<String>,
+    peers_all: Option<String>,
+    known: serde_json::Value,
+    settings: Option<BootInfo>,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+impl Config {
+    /// Reads the named file, or the one that `LB_CONFIG` names; other `LB_` variables override its keys.
+    pub fn load(file: Option<&Path>) -> Result<Config, String> {
+        let env = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = match file {
+            Some(path) => path.to_path_buf(),
+            None => env("LB_CONFIG").ok_or("LB_CONFIG: not set, and no --config given")?.into(),
+        };
+        let text = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text));
+        let mut raw: Raw = raw.map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        raw.name = env("LB_NAME").or(raw.name);
+        raw.listen = env("LB_LISTEN").or(raw.listen);
+        raw.discovery = env("LB_DISCOVERY").or(raw.discovery);
+        raw.check()
+    }
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{key}: {text:?} is no address of the form IP:PORT"))
+}
+
+fn needed<T>(key: &str, value: Option<T>) -> Result<T, String> {
+    value.ok_or_else(|| format!("{key}: missing"))
+}
+
+impl Raw {
+    fn check(self) -> Result<Config, String> {
+        let boot = needed("settings", self.settings)?;
+        let (settings, names) = boot.read();
+        if settings.classes.is_empty() {
+            return Err("settings.classes: names no class".into());
+        }
+        if self.limits.sockets < FEWEST {
+            return Err(format!("limits.sockets: {} is too few ({FEWEST} at least)", self.limits.sockets));
+        }
+        if self.limits.memory_mb < 16 {
+            return Err(format!("limits.memory_mb: {} is too little (16 at least)", self.limits.memory_mb));
+        }
+        let peers: Result<Vec<_>, _> =
+            self.peers.iter().enumerate().map(|(i, p)| address(&format!("peers[{i}]"), p)).collect();
+        let optional = |key: &str, text: Option<String>| text.map(|t| address(key, &t)).transpose();
+        let seed = match self.seed {
+            None | Some(serde_json::Value::Null) => 0,
+            Some(serde_json::Value::Number(n)) => needed("seed", n.as_u64())?,
+            Some(serde_json::Value::String(hex)) => u64::from_str_radix(&hex, 16)
+                .map_err(|_| format!("seed: {hex:?} is not a hexadecimal number of 64 bits"))?,
+            Some(other) => return Err(format!("seed: {other} is no number")),
+        };
+        // Clients are the many; a target's connections are reused, so a third is ample for them.
+        let usable = self.limits.sockets - RESERVED;
+        let outbound = usable / 3;
+        Ok(Config {
+            name: self.name.unwrap_or_else(|| "loomlb".into()),
+            listen: address("listen", &needed("listen", self.listen)?)?,
+            discovery: address("discovery", &needed("discovery", self.discovery)?)?,
+            seed,
+            inbound: usable - outbound,
+            outbound,
+            body_bytes: (self.limits.memory_mb << 20) / 4,
+            peer_listen: optional("peer_listen", self.peer_listen)?,
+            peers: peers?,
+            peers_all: optional("peers_all", self.peers_all)?,
+            known: self.known,
+            terms: boot.terms(),
+            settings,
+            names,
+        })
+    }
+}
+
+impl fmt::Display for Config {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "name: {}", self.name)?;
+        writeln!(f, "listen: {}", self.listen)?;
+        writeln!(f, "discovery: {}", self.discovery)?;
+        let PeerId(me) = self.settings.me;
+        writeln!(f, "scheduler {me} of {}, {} peers", self.settings.dispatchers, self.peers.len())?;
+        writeln!(f, "classes: {}", self.names.classes.join(", "))?;
+        writeln!(f, "tenants: {}", self.names.tenants.join(", "))?;
+        write!(f, "connections: {} in, {} out", self.inbound, self.outbound)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! same actions. [`api`] holds the interface, [`rules`] every decision.
 //!
 //! ```
-//! use cypresspass::*;
+//! use loomlb::*;
 //! let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
 //! let mut dispatcher = Dispatcher::new(settings, 7);
 //! let mut actions = Vec::new();
@@ -18,6 +18,7 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+pub mod boot;
 mod fading;
 mod message;
 pub mod rules;
--- /dev/null
+++ b/src/net/book.rs
@@ -0,0 +1,229 @@
+//! Book: the table of open flows with their forwards, and the counters.
+
+use bytes::Bytes;
+use loomlb::{Nanos, Outcome, RequestId, WorkerId};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+
+/// The final answer to a flow, whatever protocol it came by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// What a target made for it.
+    Served(Bytes),
+    /// A new try does no harm, after this time if one is given.
+    Refused(Nanos),
+    /// Failed, with no word on its effect.
+    Failed,
+}
+
+/// What is passed on to a target unchanged.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    /// The client's id of the flow.
+    pub correlation: Bytes,
+    /// The method.
+    pub method: Bytes,
+    /// The path with its query.
+    pub path: Bytes,
+    /// The key by which targets drop repeats.
+    pub key: Option<Bytes>,
+    /// The kind of the body.
+    pub content_type: Option<Bytes>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How far a forward has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its last byte is not written: it cannot have run.
+    Unsent,
+    /// Written; the target has not taken it yet.
+    Written,
+    /// The target has answered 202.
+    Taken,
+    /// Over, as far as the module was told.
+    Ended,
+}
+
+/// One attempt of a flow at a target.
+#[derive(Debug)]
+pub struct Forward {
+    /// The target.
+    pub target: WorkerId,
+    /// Its name, as its call-backs give it.
+    pub host: Rc<str>,
+    /// When the module asked for it.
+    pub opened: Nanos,
+    /// How far it has come.
+    pub stage: Stage,
+    /// The task that writes it and reads the 202.
+    pub task: Option<AbortHandle>,
+    /// Told once the target has been told to drop it, while that is under way.
+    pub undoing: Option<Rc<Notify>>,
+}
+
+/// A request that was taken and not answered, or has forwards that have not ended.
+#[derive(Debug)]
+pub struct Flow {
+    /// What to pass on.
+    pub work: Rc<Work>,
+    /// When the client stops waiting.
+    pub deadline: Nanos,
+    /// Where the answer goes; none once it has gone there.
+    pub reply: Option<oneshot::Sender<Answer>>,
+    /// The forwards, by their numbers.
+    pub forwards: Vec<Forward>,
+}
+
+/// Counts of what came in, was sent, and was answered.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    pub connections: u64,
+    pub flows: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub gone: u64,
+    pub overdue: u64,
+    pub turned_back: u64,
+    pub bad: [u64; BAD.len()],
+    pub forwards: u64,
+    pub outcomes: [u64; OUTCOMES.len()],
+    pub undone: u64,
+    pub dials: u64,
+    pub reused: u64,
+    pub probes: u64,
+    pub call_backs: u64,
+    pub call_backs_unknown: u64,
+    pub lists: u64,
+    pub list_faults: u64,
+    pub peers_in: u64,
+    pub peers_out: u64,
+    pub accept_faults: u64,
+    pub panics: u64,
+}
+
+/// Statuses of plain answers to bad input.
+const BAD: [u16; 6] = [400, 404, 405, 408, 413, 431];
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Served,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::NotSent,
+];
+
+impl Counters {
+    /// Counts a plain answer to bad input.
+    pub fn bad(&mut self, status: u16) {
+        BAD.iter().zip(&mut self.bad).filter(|b| *b.0 == status).for_each(|b| *b.1 += 1);
+    }
+
+    /// Counts the end of a forward.
+    pub fn outcome(&mut self, outcome: Outcome) {
+        OUTCOMES.iter().zip(&mut self.outcomes).filter(|o| *o.0 == outcome).for_each(|o| *o.1 += 1);
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let c = self;
+        write!(f, "in: connections={} flows={} turned_back={}", c.connections, c.flows, c.turned_back)?;
+        for (status, count) in BAD.iter().zip(c.bad) {
+            write!(f, " bad_{status}={count}")?;
+        }
+        write!(f, " accept_faults={}; answered: served={}", c.accept_faults, c.served)?;
+        write!(f, " refused={} failed={} gone={} overdue={}", c.refused, c.failed, c.gone, c.overdue)?;
+        write!(f, "; sent: forwards={}", c.forwards)?;
+        for (outcome, count) in OUTCOMES.iter().zip(c.outcomes) {
+            write!(f, " {outcome:?}={count}")?;
+        }
+        write!(f, " undone={} dials={} reused={} probes={}", c.undone, c.dials, c.reused, c.probes)?;
+        write!(f, "; call_backs={} call_backs_unknown={}", c.call_backs, c.call_backs_unknown)?;
+        write!(f, "; lists={} list_faults={}", c.lists, c.list_faults)?;
+        write!(f, "; peers: in={} out={}; panics={}", c.peers_in, c.peers_out, c.panics)
+    }
+}
+
+/// The table of flows and the counters.
+#[derive(Debug, Default)]
+pub struct Book {
+    flows: HashMap<RequestId, Flow>,
+    by_correlation: HashMap<Bytes, RequestId>,
+    last: u64,
+    /// Flows that are owed an answer.
+    owed: usize,
+    /// Bytes of the bodies of open flows.
+    body_bytes: usize,
+    /// The counters.
+    pub counters: Counters,
+}
+
+impl Book {
+    /// Enters a flow under a fresh number.
+    pub fn open(&mut self, flow: Flow) -> RequestId {
+        self.last += 1;
+        let id = RequestId(self.last);
+        self.counters.flows += 1;
+        self.owed += 1;
+        self.body_bytes += flow.work.body.len();
+        self.by_correlation.insert(flow.work.correlation.clone(), id);
+        self.flows.insert(id, flow);
+        id
+    }
+
+    /// A flow.
+    pub fn flow(&mut self, id: RequestId) -> Option<&mut Flow> {
+        self.flows.get_mut(&id)
+    }
+
+    /// A forward.
+    pub fn forward(&mut self, id: RequestId, n: u32) -> Option<&mut Forward> {
+        self.flows.get_mut(&id)?.forwards.get_mut(n as usize)
+    }
+
+    /// The flow with this id of the client's.
+    pub fn find(&self, correlation: &[u8]) -> Option<RequestId> {
+        self.by_correlation.get(correlation).copied()
+    }
+
+    /// Takes out where the answer goes; none if the flow is answered.
+    pub fn settle(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+        let reply = self.flows.get_mut(&id)?.reply.take()?;
+        self.owed -= 1;
+        Some(reply)
+    }
+
+    /// Forgets a flow that is answered and has no forward out.
+    pub fn tidy(&mut self, id: RequestId) {
+        let over = |f: &Flow| f.reply.is_none() && f.forwards.iter().all(|x| x.stage == Stage::Ended);
+        if self.flows.get(&id).is_some_and(over)
+            && let Some(flow) = self.flows.remove(&id)
+        {
+            self.body_bytes -= flow.work.body.len();
+            self.by_correlation.remove(&flow.work.correlation);
+        }
+    }
+
+    /// Flows that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// Flows in the table.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Bytes that the bodies of open flows take.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,221 @@
+//! Discovery: the target group, as the platform's list tells of it.
+
+use super::clock::from_unix_ms;
+use super::http::{Kind, Wire};
+use super::{Scheduler, route};
+use loomlb::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
+use serde::Deserialize;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// How long a watch may wait for news.
+const HOLD: Duration = Duration::from_secs(5);
+/// How much longer an answer may take before its connection counts as dead.
+const PATIENCE: Duration = Duration::from_millis(1000);
+/// Pause before another try after a failed one.
+const RETRY: Duration = Duration::from_millis(100);
+/// Targets that have left are remembered for this long, for what is still out there.
+const REMEMBER: Nanos = 60_000_000_000;
+
+/// A target as listed.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its name.
+    pub host: Rc<str>,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// When it was told to be draining or gone, if it is.
+    pub leaving: Option<Nanos>,
+    started: Nanos,
+}
+
+/// The targets that discovery has named.
+#[derive(Debug, Default)]
+pub struct Group {
+    targets: RefCell<HashMap<WorkerId, Target>>,
+    asked: Notify,
+}
+
+#[derive(Deserialize, Default)]
+struct List {
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    #[serde(default)]
+    hosts: Vec<Host>,
+}
+
+#[derive(Deserialize)]
+struct Host {
+    host: String,
+    #[serde(default)]
+    dial: String,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u64,
+    health: String,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A target's number: the same at every scheduler, and no more than 32 bits, as peers' messages cut the rest.
+/// Names of the usual form carry such a number; others are hashed (FNV-1a).
+fn number(host: &str) -> WorkerId {
+    let plain = host.strip_prefix("s-").filter(|hex| hex.len() == 8 && !hex.starts_with('+'));
+    let hash = || host.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    WorkerId(plain.and_then(|hex| u32::from_str_radix(hex, 16).ok()).unwrap_or_else(hash).into())
+}
+
+impl Group {
+    /// A target by its number.
+    pub fn target(&self, id: WorkerId) -> Option<Target> {
+        self.targets.borrow().get(&id).cloned()
+    }
+
+    /// The module wants the list, at sites where it must be asked for.
+    pub fn ask(&self) {
+        self.asked.notify_one();
+    }
+}
+
+/// Takes in a list and tells the module of it.
+fn take(s: &Rc<Scheduler>, list: List, kind: ListKind) {
+    let now = s.clock.now();
+    let mut targets = s.group.targets.borrow_mut();
+    if kind != ListKind::Partial {
+        let named: HashSet<WorkerId> = list.hosts.iter().map(|h| number(&h.host)).collect();
+        for (id, target) in targets.iter_mut().filter(|t| !named.contains(t.0)) {
+            target.leaving.get_or_insert(now);
+            s.pool.release(*id);
+        }
+    }
+    let mut entries = Vec::with_capacity(list.hosts.len());
+    for host in list.hosts {
+        let id = number(&host.host);
+        let state = match &*host.health {
+            "active" => WorkerState::Ready,
+            "left" => WorkerState::Gone,
+            "leaving" => WorkerState::Draining,
+            other => {
+                log::warn!("discovery: {}: unknown health {other:?}, taken as leaving", host.host);
+                WorkerState::Draining
+            }
+        };
+        let known = targets.get(&id);
+        if known.is_some_and(|t| *t.host != *host.host) {
+            log::error!("discovery: {}: shares its number with another target, left out", host.host);
+            continue;
+        }
+        let Some(dial) = host.dial.parse().ok().or(known.map(|t| t.dial)) else {
+            log::error!("discovery: {}: dial {:?} is no address, left out", host.host, host.dial);
+            continue;
+        };
+        let started = from_unix_ms(host.born_ms);
+        let leaving = match state {
+            WorkerState::Ready => None,
+            _ => Some(known.and_then(|t| t.leaving).unwrap_or(now)),
+        };
+        if leaving.is_some() || known.is_some_and(|t| t.started != started || t.dial != dial) {
+            // Connections to a process that has ended or is about to: the next use would only find that out.
+            s.pool.release(id);
+        }
+        let worker =
+            Worker { cell: CellId(host.block), state, weight: host.share, started, ..Worker::new(id) };
+        entries.push(s.config.names.worker(&host.site, &host.class, worker));
+        targets.insert(id, Target { host: host.host.into(), dial, leaving, started });
+    }
+    targets.retain(|_, t| t.leaving.is_none_or(|at| now < at + REMEMBER));
+    drop(targets);
+    route::feed(s, Event::Workers { kind, entries });
+}
+
+/// Starts from the list that the configuration brought.
+pub fn start(s: &Rc<Scheduler>) {
+    let known = match &s.config.known {
+        serde_json::Value::Null => List::default(),
+        known => List::deserialize(known).unwrap_or_else(|e| {
+            log::error!("configuration: known: {e}; starting without targets");
+            List::default()
+        }),
+    };
+    take(s, known, ListKind::Persisted);
+}
+
+/// Keeps up with discovery for as long as the program runs. While it is silent the last list stays.
+pub async fn follow(s: Rc<Scheduler>) {
+    let mut seq = None;
+    loop {
+        if s.config.settings.ask_for_list {
+            s.group.asked.notified().await;
+        }
+        let fault = session(&s, &mut seq).await;
+        s.book.borrow_mut().counters.list_faults += 1;
+        log::warn!("discovery: {fault}; the last list stays");
+        if s.config.settings.ask_for_list {
+            route::feed(&s, Event::ListFailed);
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+/// One connection to discovery: a call at once, then one watch after the other, until something fails.
+async fn session(s: &Rc<Scheduler>, seq: &mut Option<u64>) -> &'static str {
+    let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(s.config.discovery));
+    let Ok(Ok(stream)) = dial.await else { return "no connection" };
+    let mut wire = Wire::new(stream);
+    loop {
+        let query = match seq {
+            Some(seq) => format!("?from={seq}&hold_ms={}", HOLD.as_millis()),
+            None => String::new(),
+        };
+        let call = format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {}\r\n\r\n", s.config.discovery);
+        if wire.write(call.as_bytes()).await.is_err() {
+            return "the connection broke";
+        }
+        let patience = if seq.is_some() { HOLD + PATIENCE } else { PATIENCE };
+        let answer = match tokio::time::timeout(patience, wire.read(Kind::Response)).await {
+            Ok(Ok(answer)) if answer.status == 200 => answer,
+            Ok(Ok(_)) => return "an answer other than 200",
+            Ok(Err(_)) => return "the connection broke",
+            Err(_) => return "no answer",
+        };
+        let Ok(list) = serde_json::from_slice::<List>(&answer.body) else { return "a malformed list" };
+        let kind = if list.whole { ListKind::Complete } else { ListKind::Partial };
+        *seq = Some(list.seq);
+        s.book.borrow_mut().counters.lists += 1;
+        if kind == ListKind::Complete || !list.hosts.is_empty() {
+            take(s, list, kind);
+        }
+        if !answer.keep_alive {
+            return "the connection was closed";
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_fit_32_bits_and_follow_from_the_name_alone() {
+        assert_eq!(number("s-5be2a07c"), WorkerId(0x5be2_a07c));
+        assert_eq!(number("alpha"), number("alpha"));
+        assert_ne!(number("alpha"), number("beta"));
+        assert!(number("s-+be2a07c").0 <= u64::from(u32::MAX));
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,335 @@
+//! HTTP/1.1 framing on bytes: the edge where messages become plain data and back.
+
+use bytes::{Buf, Bytes, BytesMut};
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A head is no longer than this.
+pub const MAX_HEAD: usize = 16 * 1024;
+/// Nor a body than this.
+pub const MAX_BODY: usize = 64 * 1024;
+const MAX_HEADERS: usize = 64;
+
+/// Why no message could be read.
+#[derive(Debug)]
+pub enum Fault {
+    /// The other side closed between messages.
+    Closed,
+    /// The connection broke within one.
+    Broken,
+    /// What came is not HTTP/1.1.
+    Malformed,
+    /// The head is over its limit.
+    HeadTooLarge,
+    /// The body is over its limit.
+    BodyTooLarge,
+}
+
+impl From<io::Error> for Fault {
+    fn from(_: io::Error) -> Self {
+        Fault::Broken
+    }
+}
+
+/// What to read: a request or a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Request,
+    Response,
+}
+
+/// A whole message.
+#[derive(Debug, Default)]
+pub struct Message {
+    /// Of a request.
+    pub method: Bytes,
+    /// Of a request, with its query.
+    pub path: Bytes,
+    /// Of a response.
+    pub status: u16,
+    headers: Vec<(Bytes, Bytes)>,
+    /// The body without its framing.
+    pub body: Bytes,
+    /// The connection may carry another message after this one.
+    pub keep_alive: bool,
+}
+
+impl Message {
+    /// The first header of this name.
+    pub fn header(&self, name: &str) -> Option<&Bytes> {
+        self.headers.iter().find(|h| h.0.eq_ignore_ascii_case(name.as_bytes())).map(|h| &h.1)
+    }
+
+    /// The same as text, if it is.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.header(name).and_then(|v| std::str::from_utf8(v).ok()).map(str::trim)
+    }
+
+    fn says(&self, name: &str, word: &str) -> bool {
+        let mut values = self.headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name.as_bytes()));
+        values
+            .any(|h| h.1.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes())))
+    }
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// Parses the head at the start of `buf` and takes it out; `None` if it is not whole yet.
+fn take_head(buf: &mut BytesMut, kind: Kind) -> Result<Option<Message>, Fault> {
+    let mut room = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let at = |b: &[u8]| (b.as_ptr() as usize - buf.as_ptr() as usize, b.len());
+    let (mut spans, mut message) = (Vec::new(), Message::default());
+    let (parsed, version, start) = match kind {
+        Kind::Request => {
+            let mut head = httparse::Request::new(&mut room);
+            let parsed = head.parse(buf);
+            if let Ok(httparse::Status::Complete(_)) = parsed {
+                spans.extend(head.headers.iter().map(|h| (at(h.name.as_bytes()), at(h.value))));
+            }
+            let start = head.method.zip(head.path).map(|(m, p)| (at(m.as_bytes()), at(p.as_bytes())));
+            (parsed, head.version, start)
+        }
+        Kind::Response => {
+            let mut head = httparse::Response::new(&mut room);
+            let parsed = head.parse(buf);
+            if let Ok(httparse::Status::Complete(_)) = parsed {
+                spans.extend(head.headers.iter().map(|h| (at(h.name.as_bytes()), at(h.value))));
+                message.status = head.code.unwrap_or(0);
+            }
+            (parsed, head.version, None)
+        }
+    };
+    let length = match parsed {
+        Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD => length,
+        Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
+        Err(_) => return Err(Fault::Malformed),
+    };
+    let head = buf.split_to(length).freeze();
+    let cut = |(from, len): (usize, usize)| head.slice(from..from + len);
+    message.headers = spans.into_iter().map(|(name, value)| (cut(name), cut(value))).collect();
+    if let Some((method, path)) = start {
+        (message.method, message.path) = (cut(method), cut(path));
+    }
+    let http_1_1 = version == Some(1);
+    message.keep_alive = if http_1_1 {
+        !message.says("connection", "close")
+    } else {
+        message.says("connection", "keep-alive")
+    };
+    Ok(Some(message))
+}
+
+/// How the body is framed. A message that says it in two ways is refused: the next reader on its way might
+/// believe the other one.
+fn framing(message: &Message, kind: Kind) -> Result<Framing, Fault> {
+    let all = |name: &'static str| {
+        message.headers.iter().filter(move |h| h.0.eq_ignore_ascii_case(name.as_bytes())).map(|h| &h.1)
+    };
+    let (lengths, mut codings) = (all("content-length"), all("transfer-encoding"));
+    let mut length = None;
+    for value in lengths {
+        let text = std::str::from_utf8(value.trim_ascii()).map_err(|_| Fault::Malformed)?;
+        if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) || length.is_some_and(|l| l != text) {
+            return Err(Fault::Malformed);
+        }
+        length = Some(text);
+    }
+    match (codings.next(), length) {
+        (Some(coding), None) if codings.next().is_none() => {
+            let chunked = coding.trim_ascii().eq_ignore_ascii_case(b"chunked");
+            if chunked { Ok(Framing::Chunked) } else { Err(Fault::Malformed) }
+        }
+        (Some(_), _) => Err(Fault::Malformed),
+        (None, Some(length)) => match length.parse() {
+            Ok(length) if length <= MAX_BODY => Ok(Framing::Length(length)),
+            _ => Err(Fault::BodyTooLarge),
+        },
+        (None, None) => match (kind, message.status) {
+            (Kind::Request, _) | (_, 204 | 304) => Ok(Framing::Length(0)),
+            _ => Ok(Framing::UntilClose),
+        },
+    }
+}
+
+/// A connection that carries messages.
+#[derive(Debug)]
+pub struct Wire {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+impl Wire {
+    /// Takes over a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        // Without this a small message could wait for the acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
+        Wire { stream, buf: BytesMut::new() }
+    }
+
+    /// Whether something has come that was not read as a message yet.
+    pub fn has_input(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Waits for more bytes; 0 if the other side has closed. Loses nothing when dropped half-way.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        self.buf.reserve(4096);
+        self.stream.read_buf(&mut self.buf).await
+    }
+
+    /// Reads what is there without waiting; false if the other side has closed.
+    pub fn poll_input(&mut self) -> bool {
+        self.buf.reserve(4096);
+        match self.stream.try_read_buf(&mut self.buf) {
+            Ok(n) => n > 0,
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+
+    async fn more(&mut self) -> Result<(), Fault> {
+        if self.fill().await? == 0 { Err(Fault::Broken) } else { Ok(()) }
+    }
+
+    /// Reads one message, in as many parts as it comes in.
+    pub async fn read(&mut self, kind: Kind) -> Result<Message, Fault> {
+        let mut message = loop {
+            if let Some(message) = take_head(&mut self.buf, kind)? {
+                if kind == Kind::Response && (100..200).contains(&message.status) {
+                    continue;
+                }
+                break message;
+            }
+            let fresh = self.buf.is_empty();
+            match self.fill().await {
+                Ok(0) | Err(_) if fresh => return Err(Fault::Closed),
+                Ok(0) | Err(_) => return Err(Fault::Broken),
+                Ok(_) => {}
+            }
+        };
+        let framing = framing(&message, kind)?;
+        if kind == Kind::Request && message.says("expect", "100-continue") && self.buf.is_empty() {
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        message.body = match framing {
+            Framing::Length(length) => {
+                while self.buf.len() < length {
+                    self.more().await?;
+                }
+                self.buf.split_to(length).freeze()
+            }
+            Framing::Chunked => self.chunks().await?,
+            Framing::UntilClose => {
+                message.keep_alive = false;
+                while self.fill().await? > 0 {
+                    if self.buf.len() > MAX_BODY {
+                        return Err(Fault::BodyTooLarge);
+                    }
+                }
+                self.buf.split().freeze()
+            }
+        };
+        Ok(message)
+    }
+
+    async fn chunks(&mut self) -> Result<Bytes, Fault> {
+        let mut body = BytesMut::new();
+        loop {
+            let (skip, size) = loop {
+                match httparse::parse_chunk_size(&self.buf) {
+                    Ok(httparse::Status::Complete(found)) => break found,
+                    // A size line may carry extensions, but not without end.
+                    Ok(httparse::Status::Partial) if self.buf.len() < 1024 => self.more().await?,
+                    _ => return Err(Fault::Malformed),
+                }
+            };
+            if size > (MAX_BODY - body.len()) as u64 {
+                return Err(Fault::BodyTooLarge);
+            }
+            self.buf.advance(skip);
+            if size == 0 {
+                break;
+            }
+            let size = size as usize;
+            while self.buf.len() < size + 2 {
+                self.more().await?;
+            }
+            body.extend_from_slice(&self.buf[..size]);
+            if &self.buf[size..size + 2] != b"\r\n" {
+                return Err(Fault::Malformed);
+            }
+            self.buf.advance(size + 2);
+        }
+        // Trailers end with an empty line and are dropped.
+        let mut seen = 0;
+        loop {
+            match self.buf.iter().position(|b| *b == b'\n') {
+                Some(end) => {
+                    let empty = self.buf[..end].trim_ascii().is_empty();
+                    self.buf.advance(end + 1);
+                    seen += end + 1;
+                    if empty {
+                        return Ok(body.freeze());
+                    }
+                }
+                None if seen + self.buf.len() < MAX_HEAD => self.more().await?,
+                None => return Err(Fault::HeadTooLarge),
+            }
+        }
+    }
+
+    /// Writes all of it, or fails with at least one byte unwritten.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Ends a connection on which more may be coming: closing at once would reset it, and the answer just
+    /// written could be lost with it.
+    pub async fn linger(mut self) {
+        let _ = self.stream.shutdown().await;
+        let drain = async {
+            let mut left = 4 * MAX_BODY;
+            loop {
+                self.buf.clear();
+                match self.fill().await {
+                    Ok(n) if n > 0 && n < left => left -= n,
+                    _ => break,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(Duration::from_millis(500), drain).await;
+    }
+}
+
+/// The text of a response.
+pub fn response(status: u16, headers: &[(&str, &str)], body: &[u8], keep_alive: bool) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "",
+    };
+    let mut out = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
+    let length = body.len().to_string();
+    let close = if keep_alive { None } else { Some(&("Connection", "close")) };
+    for (name, value) in headers.iter().chain(&[("Content-Length", length.as_str())]).chain(close) {
+        out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+    out
+}
--- /dev/null
+++ b/src/net/intake.rs
@@ -0,0 +1,293 @@
+//! Intake: the listener. It parses what comes in, hands offers on, and writes the answers.
+
+use super::admit::{Offer, Rejection, admit};
+use super::book::{Answer, Work};
+use super::http::{Fault, Kind, Message, Wire, response};
+use super::{Scheduler, relay};
+use loomlb::Nanos;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// A request that has begun is whole within this time.
+const WHOLE: Duration = Duration::from_secs(10);
+/// An answer is read by its client within this time.
+const TAKEN: Duration = Duration::from_secs(10);
+/// Connections idle for longer are closed.
+const IDLE: Duration = Duration::from_secs(120);
+/// Pause after a failed accept, such as when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Where workers report what becomes of a job.
+const CALL_BACKS: &str = "/v1/job-events";
+const HEALTH: &str = "/healthz";
+
+/// A taken seat.
+#[derive(Debug)]
+struct Occupied {
+    /// Since when it is between requests, if it is.
+    idle: Option<Nanos>,
+    /// How to ask it to close.
+    close: Rc<Notify>,
+}
+
+/// The connections of clients, and of targets that call back.
+#[derive(Debug)]
+pub struct Listener {
+    limit: usize,
+    seats: RefCell<HashMap<u64, Occupied>>,
+    next: Cell<u64>,
+    left: Notify,
+}
+
+impl Listener {
+    /// A listener with room for so many connections.
+    pub fn new(limit: usize) -> Self {
+        Listener { limit, seats: RefCell::default(), next: Cell::new(0), left: Notify::new() }
+    }
+
+    /// Connections that are within a request.
+    pub fn engaged(&self) -> usize {
+        self.seats.borrow().values().filter(|s| s.idle.is_none()).count()
+    }
+
+    /// Asks the connection idle for longest to close.
+    fn evict(&self) {
+        let seats = self.seats.borrow();
+        if let Some(seat) = seats.values().filter(|s| s.idle.is_some()).min_by_key(|s| s.idle) {
+            seat.close.notify_one();
+        }
+    }
+}
+
+/// A connection's place at the listener.
+struct Seat {
+    s: Rc<Scheduler>,
+    number: u64,
+    close: Rc<Notify>,
+}
+
+impl Seat {
+    fn new(s: &Rc<Scheduler>) -> Self {
+        let number = s.listener.next.replace(s.listener.next.get() + 1);
+        let close = Rc::new(Notify::new());
+        s.listener.seats.borrow_mut().insert(number, Occupied { idle: None, close: Rc::clone(&close) });
+        Seat { s: Rc::clone(s), number, close }
+    }
+
+    fn idle(&self, since: Option<Nanos>) {
+        if let Some(seat) = self.s.listener.seats.borrow_mut().get_mut(&self.number) {
+            seat.idle = since;
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.s.listener.seats.borrow_mut().remove(&self.number);
+        self.s.listener.left.notify_one();
+    }
+}
+
+/// Accepts connections for as long as the program runs. At the limit the idle make room, and if none is idle
+/// newcomers wait in the kernel's queue.
+pub async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
+    loop {
+        if s.listener.seats.borrow().len() >= s.listener.limit {
+            s.listener.evict();
+            let _ = tokio::time::timeout(ACCEPT_PAUSE, s.listener.left.notified()).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                s.book.borrow_mut().counters.connections += 1;
+                tokio::task::spawn_local(serve(Seat::new(&s), stream));
+            }
+            Err(e) => {
+                s.book.borrow_mut().counters.accept_faults += 1;
+                log::warn!("accept: {e}");
+                s.listener.evict();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What the listener answers, and whether the connection goes on.
+struct Reply {
+    status: u16,
+    body: Vec<u8>,
+    retry_after: Nanos,
+}
+
+impl Reply {
+    fn plain(status: u16, text: &str) -> Self {
+        Reply { status, body: format!("{text}\n").into_bytes(), retry_after: 0 }
+    }
+}
+
+async fn serve(seat: Seat, stream: TcpStream) {
+    let s = Rc::clone(&seat.s);
+    let mut wire = Wire::new(stream);
+    let mut calls_back = false;
+    loop {
+        if !wire.has_input() && !wait(&seat, &mut wire, calls_back).await {
+            return;
+        }
+        let (reply, keep_alive) = match tokio::time::timeout(WHOLE, wire.read(Kind::Request)).await {
+            Ok(Ok(message)) => {
+                let path = message.path.split(|b| *b == b'?').next().unwrap_or_default();
+                calls_back = path == CALL_BACKS.as_bytes();
+                let Some(reply) = handle(&s, &mut wire, &message).await else { return };
+                (reply, message.keep_alive)
+            }
+            Ok(Err(Fault::Closed | Fault::Broken)) => return,
+            Ok(Err(Fault::Malformed)) => (Reply::plain(400, "malformed request"), false),
+            Ok(Err(Fault::HeadTooLarge)) => (Reply::plain(431, "head too large"), false),
+            Ok(Err(Fault::BodyTooLarge)) => (Reply::plain(413, "body too large"), false),
+            Err(_) => (Reply::plain(408, "request not whole in time"), false),
+        };
+        s.book.borrow_mut().counters.bad(reply.status);
+        // Call-backs go on: what was taken cannot finish without them.
+        let keep_alive = keep_alive && (calls_back || !s.shutdown.begun());
+        let wait = format!("{:.3}", reply.retry_after as f64 / 1e9);
+        let headers: &[(&str, &str)] = if reply.retry_after > 0 { &[("Retry-After", &wait)] } else { &[] };
+        let text = response(reply.status, headers, &reply.body, keep_alive);
+        match tokio::time::timeout(TAKEN, wire.write(&text)).await {
+            Ok(Ok(())) if keep_alive => {}
+            Ok(Ok(())) => {
+                drop(seat);
+                return wire.linger().await;
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Waits between requests; false if the connection is over. One that we close is looked at once more: what
+/// has arrived by then is a request like any other.
+async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool) -> bool {
+    let s = &seat.s;
+    seat.idle(Some(s.clock.now()));
+    let ours = tokio::select! {
+        filled = wire.fill() => {
+            if !matches!(filled, Ok(n) if n > 0) {
+                return false;
+            }
+            false
+        }
+        () = seat.close.notified() => true,
+        () = s.shutdown.close_idle.notified(), if !calls_back => true,
+        () = tokio::time::sleep(IDLE) => true,
+    };
+    seat.idle(None);
+    !ours || wire.poll_input() && wire.has_input()
+}
+
+/// The reply to a request; none if its client has gone.
+async fn handle(s: &Rc<Scheduler>, wire: &mut Wire, message: &Message) -> Option<Reply> {
+    let Ok(path) = std::str::from_utf8(&message.path) else {
+        return Some(Reply::plain(400, "malformed path"));
+    };
+    let path = path.split('?').next().unwrap_or_default();
+    let method = &*message.method;
+    match path {
+        HEALTH if method != b"GET" => return Some(Reply::plain(405, "only GET is served here")),
+        HEALTH if s.shutdown.begun() => return Some(Reply::plain(503, "ending")),
+        HEALTH => return Some(Reply::plain(200, "ready")),
+        CALL_BACKS if method != b"POST" => return Some(Reply::plain(405, "only POST is served here")),
+        CALL_BACKS if relay::call_back(s, &message.body) => return Some(Reply::plain(200, "noted")),
+        CALL_BACKS => return Some(Reply::plain(400, "malformed call-back")),
+        _ => {}
+    }
+    let offer = match offer(s, message, path) {
+        Ok(offer) => offer,
+        Err(reply) => return Some(reply),
+    };
+    let mut taken = match admit(s, offer) {
+        Ok(taken) => taken,
+        Err(Rejection::Bad(why)) => return Some(Reply::plain(400, why)),
+        Err(Rejection::NoRoom(wait)) => {
+            return Some(Reply { retry_after: wait, ..Reply::plain(503, "no room") });
+        }
+    };
+    let answer = loop {
+        tokio::select! {
+            answer = &mut taken.answer => break answer.unwrap_or(Answer::Failed),
+            going = hang_up(wire) => if going {
+                relay::gone(s, taken.id);
+                return None;
+            }
+        }
+    };
+    Some(match answer {
+        Answer::Served(body) => Reply { status: 200, body: body.to_vec(), retry_after: 0 },
+        Answer::Refused(wait) => Reply { retry_after: wait, ..Reply::plain(503, "refused") },
+        Answer::Failed => Reply::plain(502, "failed"),
+    })
+}
+
+/// Waits for the client to say something before its answer: its next request (false), or that it has gone.
+/// Once its next request has begun to come nothing more is read, so that it cannot fill our memory.
+async fn hang_up(wire: &mut Wire) -> bool {
+    if wire.has_input() {
+        std::future::pending::<()>().await;
+    }
+    !matches!(wire.fill().await, Ok(n) if n > 0)
+}
+
+/// Reads a job out of a request.
+fn offer(s: &Scheduler, message: &Message, path: &str) -> Result<Offer, Reply> {
+    let classes = &s.config.names.classes;
+    let mut segments = path.split('/').filter(|p| !p.is_empty());
+    let first = segments.next().unwrap_or_default();
+    let class = match message.text("X-Service-Class") {
+        None if !classes.iter().any(|c| c == first) => return Err(Reply::plain(404, "unknown path")),
+        None => first,
+        Some(class) if !classes.iter().any(|c| c == class) => {
+            return Err(Reply::plain(400, "unknown class"));
+        }
+        Some(class) if class != first => return Err(Reply::plain(400, "class and path differ")),
+        Some(class) => class,
+    };
+    if &*message.method != b"POST" {
+        return Err(Reply::plain(405, "only POST is served here"));
+    }
+    let patience = match message.text("X-Time-Left").map(seconds) {
+        Some(None) => return Err(Reply::plain(400, "malformed X-Time-Left")),
+        Some(patience) => patience,
+        None => None,
+    };
+    let fact = |names: &[&str]| {
+        let facts = message.text("X-Facts")?.split(',').filter_map(|f| f.split_once('='));
+        let value = facts.filter(|f| names.contains(&f.0.trim())).find_map(|f| f.1.trim().parse().ok());
+        value.filter(|v: &f64| v.is_finite() && *v >= 0.0)
+    };
+    Ok(Offer {
+        class: class.to_string(),
+        tenant: message.text("X-Account").map(str::to_string),
+        subject: segments.next_back().map(str::to_string),
+        patience,
+        retry: message.text("X-Repeat") == Some("1"),
+        slots: fact(&["slots"]),
+        memory: fact(&["memory", "mem"]),
+        expected: fact(&["expected", "hint"]).map(|v| v as Nanos),
+        work: Work {
+            correlation: message.header("X-Correlation-Id").cloned().unwrap_or_default(),
+            method: message.method.clone(),
+            path: message.path.clone(),
+            key: message.header("Idempotency-Key").cloned(),
+            content_type: message.header("Content-Type").cloned(),
+            body: message.body.clone(),
+        },
+    })
+}
+
+/// Seconds with decimals, as nanoseconds; none if it is no such number.
+fn seconds(text: &str) -> Option<Nanos> {
+    let seconds: f64 = text.parse().ok()?;
+    (seconds.is_finite() && (0.0..=86_400.0).contains(&seconds)).then_some((seconds * 1e9) as Nanos)
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,99 @@
+//! The real scheduler: sockets around the decision module.
+//!
+//! A request passes the stages [`intake`] (parse), [`admit`] (may it be taken), [`route`] (ask the module),
+//! [`send`] (forward it), [`relay`] (what targets say, and the answer) and [`book`] (the table of it all).
+//! Only `intake`, `send`, `discovery` and [`http`] know of HTTP: another protocol feeds offers to `admit` and
+//! waits for their answers. Everything runs on one thread, so what is shared is in cells, never borrowed
+//! across a wait.
+
+pub mod admit;
+pub mod book;
+pub mod clock;
+pub mod discovery;
+pub mod http;
+pub mod intake;
+pub mod peers;
+pub mod relay;
+pub mod route;
+pub mod send;
+pub mod shutdown;
+pub mod wheel;
+
+use crate::config::Config;
+use loomlb::{Dispatcher, Event};
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+use wheel::Due;
+
+/// All that the stages share.
+#[derive(Debug)]
+pub struct Scheduler {
+    /// What the program was told.
+    pub config: Config,
+    /// The one clock.
+    pub clock: clock::Clock,
+    /// Flows and counters.
+    pub book: RefCell<book::Book>,
+    /// The decision module.
+    pub router: route::Router,
+    /// Timers.
+    pub wheel: wheel::Wheel,
+    /// Connections to targets.
+    pub pool: send::Pool,
+    /// The target group.
+    pub group: discovery::Group,
+    /// The other schedulers.
+    pub peers: peers::Peers,
+    /// Connections of clients.
+    pub listener: intake::Listener,
+    /// Whether the end has come.
+    pub shutdown: shutdown::Shutdown,
+}
+
+/// Runs the scheduler until it is told to end.
+pub fn serve(config: Config) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+async fn run(config: Config) -> io::Result<()> {
+    let named = |what: &str, e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
+    let listener = TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?;
+    let peers = peers::Peers::open(&config).await.map_err(|e| named("peer_listen", e))?;
+    let clock = clock::Clock::new();
+    let s = Rc::new(Scheduler {
+        router: route::Router::new(Dispatcher::new(config.settings.clone(), config.seed)),
+        wheel: wheel::Wheel::new(clock.now()),
+        pool: send::Pool::new(config.outbound, config.terms.keepalive),
+        listener: intake::Listener::new(config.inbound),
+        book: RefCell::default(),
+        group: discovery::Group::default(),
+        shutdown: shutdown::Shutdown::default(),
+        clock,
+        peers,
+        config,
+    });
+    log::info!("{} serves at {}", s.config.name, listener.local_addr()?);
+    discovery::start(&s);
+    send::sweep(&s);
+    spawn_local(wheel::turn(Rc::clone(&s)));
+    spawn_local(discovery::follow(Rc::clone(&s)));
+    spawn_local(peers::listen(Rc::clone(&s)));
+    spawn_local(intake::accept(Rc::clone(&s), listener));
+    let ended = shutdown::wait(&s).await;
+    log::info!("counters: {}", s.book.borrow().counters);
+    ended
+}
+
+/// A timer is due.
+pub fn due(s: &Rc<Scheduler>, due: Due) {
+    match due {
+        Due::Module(token) => route::feed(s, Event::Timer(token)),
+        Due::Forward(id, n) => send::time_out(s, id, n),
+        Due::Deadline(id) => relay::overdue(s, id),
+        Due::Sweep => send::sweep(s),
+    }
+}
--- /dev/null
+++ b/src/net/relay.rs
@@ -0,0 +1,108 @@
+//! Relay: what targets say of a forward goes to the module, and answers go to whoever fed the flow.
+
+use super::book::{Answer, Stage};
+use super::{Scheduler, route};
+use bytes::Bytes;
+use loomlb::{Ended, Event, Note, Outcome, Report, RequestId};
+use serde::Deserialize;
+use std::borrow::Cow;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Gives a flow its final answer; false if it has had one.
+pub fn answer(s: &Rc<Scheduler>, id: RequestId, answer: Answer) -> bool {
+    let mut book = s.book.borrow_mut();
+    let Some(reply) = book.settle(id) else { return false };
+    match answer {
+        Answer::Served(_) => book.counters.served += 1,
+        Answer::Refused(_) => book.counters.refused += 1,
+        Answer::Failed => book.counters.failed += 1,
+    }
+    book.tidy(id);
+    // If the client has hung up in this very moment, nobody listens any more.
+    let _ = reply.send(answer);
+    true
+}
+
+/// The client of a flow has gone.
+pub fn gone(s: &Rc<Scheduler>, id: RequestId) {
+    let mut book = s.book.borrow_mut();
+    if book.settle(id).is_some() {
+        book.counters.gone += 1;
+        book.tidy(id);
+        drop(book);
+        route::feed(s, Event::Gone(id));
+    }
+}
+
+/// The deadline of a flow has come: it is answered even if the module says nothing.
+pub fn overdue(s: &Rc<Scheduler>, id: RequestId) {
+    if answer(s, id, Answer::Failed) {
+        s.book.borrow_mut().counters.overdue += 1;
+        route::feed(s, Event::Gone(id));
+    }
+}
+
+/// A forward has ended; what ends it a second time is passed over.
+pub fn ended(s: &Rc<Scheduler>, id: RequestId, n: u32, outcome: Outcome, report: Option<Report>) {
+    let mut book = s.book.borrow_mut();
+    let Some(forward) = book.forward(id, n).filter(|f| f.stage != Stage::Ended) else { return };
+    forward.stage = Stage::Ended;
+    let latency = s.clock.now().saturating_sub(forward.opened);
+    let closed = book.flow(id).is_none_or(|f| f.reply.is_none());
+    book.counters.outcome(outcome);
+    book.tidy(id);
+    drop(book);
+    route::feed(s, Event::Ended { id, attempt: n, ended: Ended { outcome, latency, closed, report } });
+}
+
+#[derive(Deserialize)]
+struct CallBack<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow)]
+    from: Cow<'a, str>,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
+    share: Option<f64>,
+    result: Option<String>,
+    load: Option<HashMap<String, f64>>,
+}
+
+/// Takes in a call-back. It may be early, late, repeated, or of a forward given up: only the last forward of
+/// that flow to that target counts, and only while it is out. False if it is malformed.
+pub fn call_back(s: &Rc<Scheduler>, body: &[u8]) -> bool {
+    let Ok(said) = serde_json::from_slice::<CallBack>(body) else { return false };
+    if !["started", "running", "done", "failed", "returned", "lost"].contains(&&*said.state) {
+        return false;
+    }
+    let mut book = s.book.borrow_mut();
+    book.counters.call_backs += 1;
+    let found = book.find(said.id.as_bytes()).and_then(|id| {
+        let forwards = &book.flow(id)?.forwards;
+        let n = forwards.iter().rposition(|f| *f.host == *said.from)?;
+        matches!(forwards[n].stage, Stage::Written | Stage::Taken).then_some((id, n as u32))
+    });
+    let Some((id, n)) = found else {
+        book.counters.call_backs_unknown += 1;
+        return true;
+    };
+    drop(book);
+    let report = said.load.map(|load| {
+        let mut report = Report::default();
+        load.iter().for_each(|(name, value)| s.config.terms.report(&mut report, name, *value));
+        report
+    });
+    match &*said.state {
+        "started" => route::feed(s, Event::Note(id, n, Note::Started)),
+        "running" => route::feed(s, Event::Note(id, n, Note::Progress(said.share.unwrap_or(0.0)))),
+        "done" => {
+            answer(s, id, Answer::Served(Bytes::from(said.result.unwrap_or_default())));
+            ended(s, id, n, Outcome::Served, report);
+        }
+        "returned" => ended(s, id, n, Outcome::Full, report),
+        "lost" => ended(s, id, n, Outcome::Reset, report),
+        _ => ended(s, id, n, Outcome::Error, report),
+    }
+    true
+}
--- /dev/null
+++ b/src/net/send.rs
@@ -0,0 +1,352 @@
+//! Send: forwards to targets, their giving up, probes, and the pool of connections.
+
+use super::book::{Forward, Stage, Work};
+use super::discovery::Target;
+use super::http::{Fault, Kind, Message, Wire};
+use super::wheel::Due;
+use super::{Scheduler, relay, route};
+use loomlb::{Ended, Event, Nanos, Outcome, Report, Reports, RequestId, WorkerId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Small calls (a give-up, a probe) are answered in this time or count as lost.
+const CALL: Duration = Duration::from_secs(1);
+/// Time between two looks through the idle connections.
+const SWEEP: Nanos = 250_000_000;
+
+/// A connection to a target, counted for as long as it lives.
+#[derive(Debug)]
+struct Link {
+    wire: Wire,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    link: Link,
+    since: Nanos,
+}
+
+/// Idle connections to targets, and the count of all.
+#[derive(Debug)]
+pub struct Pool {
+    idle: RefCell<HashMap<WorkerId, Vec<Idle>>>,
+    open: Rc<Cell<usize>>,
+    limit: usize,
+    /// Idle connections live this long: well below the time after which a target closes them, since a
+    /// request that crosses such an end counts as one that may have run.
+    keep: Nanos,
+}
+
+impl Pool {
+    /// An empty pool of so many connections at most, for targets that close idle ones after `keepalive`.
+    pub fn new(limit: usize, keepalive: Nanos) -> Self {
+        Pool { idle: RefCell::default(), open: Rc::default(), limit, keep: keepalive / 4 * 3 }
+    }
+
+    /// Closes the idle connections to a target.
+    pub fn release(&self, target: WorkerId) {
+        self.idle.borrow_mut().remove(&target);
+    }
+
+    /// Closes what has been idle for too long.
+    fn sweep(&self, now: Nanos) {
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(|i| now < i.since + self.keep);
+            !links.is_empty()
+        });
+    }
+
+    /// The connection used last, if it still lives.
+    fn take(&self, target: WorkerId, now: Nanos) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&target)?;
+        while let Some(mut last) = links.pop() {
+            let fresh = now < last.since + self.keep;
+            if fresh && last.link.wire.poll_input() && !last.link.wire.has_input() {
+                return Some(last.link);
+            }
+        }
+        None
+    }
+
+    fn put(&self, target: WorkerId, link: Link, now: Nanos) {
+        self.idle.borrow_mut().entry(target).or_default().push(Idle { link, since: now });
+    }
+
+    /// Makes room for one more connection by closing the one idle for longest; false if there is none.
+    fn make_room(&self) -> bool {
+        if self.open.get() < self.limit {
+            return true;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
+        oldest.map(|links| links.remove(0)).is_some()
+    }
+}
+
+/// A connection to a target: an idle one, or a new one if it comes up in time.
+async fn connect(s: &Scheduler, id: WorkerId, target: &Target) -> Option<Link> {
+    if let Some(link) = s.pool.take(id, s.clock.now()) {
+        s.book.borrow_mut().counters.reused += 1;
+        return Some(link);
+    }
+    if !s.pool.make_room() {
+        log::warn!("no descriptor left for a connection to {}", target.host);
+        return None;
+    }
+    s.book.borrow_mut().counters.dials += 1;
+    s.pool.open.set(s.pool.open.get() + 1);
+    let open = Rc::clone(&s.pool.open);
+    let limit = Duration::from_nanos(s.config.terms.dial_timeout);
+    match tokio::time::timeout(limit, TcpStream::connect(target.dial)).await {
+        Ok(Ok(stream)) => Some(Link { wire: Wire::new(stream), open }),
+        _ => {
+            open.set(open.get() - 1);
+            None
+        }
+    }
+}
+
+/// Carries out one send of the module: one forward, written once.
+pub fn forward(s: &Rc<Scheduler>, id: RequestId, to: WorkerId, timeout: Nanos) {
+    let now = s.clock.now();
+    let target = s.group.target(to);
+    let mut book = s.book.borrow_mut();
+    let Some(flow) = book.flow(id) else {
+        return log::error!("the module sends a flow that is over");
+    };
+    let n = flow.forwards.len() as u32;
+    let over = flow.reply.is_none() || n >= s.config.settings.limits.max_attempts.max(1);
+    // A later forward must not overtake the news that an earlier one is given up.
+    let one_at_a_time = !s.config.settings.limits.second_copies;
+    let earlier = flow.forwards.iter().filter(|f| one_at_a_time || f.target == to);
+    let undoing: Vec<Rc<Notify>> = earlier.filter_map(|f| f.undoing.clone()).collect();
+    let work = Rc::clone(&flow.work);
+    let until = if timeout == 0 { flow.deadline } else { flow.deadline.min(now.saturating_add(timeout)) };
+    flow.forwards.push(Forward {
+        target: to,
+        host: target.as_ref().map_or_else(|| "".into(), |t| Rc::clone(&t.host)),
+        opened: now,
+        stage: Stage::Unsent,
+        task: None,
+        undoing: None,
+    });
+    book.counters.forwards += 1;
+    drop(book);
+    let Some(target) = target.filter(|_| !over) else {
+        return relay::ended(s, id, n, Outcome::NotSent, None);
+    };
+    s.wheel.set(until, Due::Forward(id, n));
+    let one = One { s: Rc::clone(s), id, n, to, until };
+    let task = tokio::task::spawn_local(async move {
+        for earlier in undoing {
+            earlier.notified().await;
+            earlier.notify_one();
+        }
+        one.run(&target, &work).await;
+    });
+    if let Some(forward) = s.book.borrow_mut().forward(id, n) {
+        forward.task = Some(task.abort_handle());
+    }
+}
+
+/// One forward under way.
+struct One {
+    s: Rc<Scheduler>,
+    id: RequestId,
+    n: u32,
+    to: WorkerId,
+    until: Nanos,
+}
+
+impl One {
+    async fn run(&self, target: &Target, work: &Work) {
+        let s = &self.s;
+        let Some(mut link) = connect(s, self.to, target).await else {
+            return relay::ended(s, self.id, self.n, Outcome::NoConnection, None);
+        };
+        if !self.may_write() {
+            s.pool.put(self.to, link, s.clock.now());
+            return relay::ended(s, self.id, self.n, Outcome::NotSent, None);
+        }
+        let left = self.until.saturating_sub(s.clock.now());
+        if link.wire.write(&request(target, work, left)).await.is_err() {
+            return relay::ended(s, self.id, self.n, Outcome::NoConnection, None);
+        }
+        self.reached(Stage::Written);
+        // The time-out ends this task; the limit is for a forward that a call-back has ended before the 202.
+        let limit = Duration::from_nanos(left) + CALL;
+        let answer = tokio::time::timeout(limit, link.wire.read(Kind::Response)).await;
+        let (outcome, report) = match answer {
+            Ok(Ok(answer)) => {
+                let read = read_answer(s, &answer);
+                self.put_back(link, &answer);
+                match read {
+                    Some(ended) => ended,
+                    None => return self.reached(Stage::Taken),
+                }
+            }
+            // The last byte is written, so it may have run.
+            Ok(Err(_)) | Err(_) => (Outcome::Reset, None),
+        };
+        relay::ended(s, self.id, self.n, outcome, report);
+    }
+
+    /// Looks again just before the first byte: a dial takes time, and meanwhile the flow may have ended, or
+    /// the target been told to drain so long ago that nothing new may go there.
+    fn may_write(&self) -> bool {
+        let s = &self.s;
+        let open = s.book.borrow_mut().flow(self.id).is_some_and(|f| f.reply.is_some());
+        let grace = s.config.terms.drain_grace / 2;
+        let target = s.group.target(self.to);
+        open && target.is_some_and(|t| t.leaving.is_none_or(|at| s.clock.now() < at + grace))
+    }
+
+    fn reached(&self, stage: Stage) {
+        if let Some(f) = self.s.book.borrow_mut().forward(self.id, self.n)
+            && f.stage != Stage::Ended
+        {
+            f.stage = stage;
+        }
+    }
+
+    fn put_back(&self, link: Link, answer: &Message) {
+        put_back(&self.s, self.to, link, answer);
+    }
+}
+
+fn put_back(s: &Scheduler, to: WorkerId, link: Link, answer: &Message) {
+    let staying = s.group.target(to).is_some_and(|t| t.leaving.is_none());
+    if answer.keep_alive && !link.wire.has_input() && staying {
+        s.pool.put(to, link, s.clock.now());
+    }
+}
+
+/// What a target's answer means for the forward; none if the target has taken it.
+fn read_answer(s: &Scheduler, answer: &Message) -> Option<(Outcome, Option<Report>)> {
+    let report = answer.text("X-Backend-Load").map(|text| read_report(s, text));
+    let unprocessed = answer.text("X-Unprocessed") == Some("1");
+    match answer.status {
+        202 => None,
+        503 | 504 if unprocessed => Some((Outcome::Full, report)),
+        _ => Some((Outcome::Error, report)),
+    }
+}
+
+/// A report in its header's form: `name=value,name=value`.
+fn read_report(s: &Scheduler, text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        if let Ok(value) = value.trim().parse() {
+            s.config.terms.report(&mut report, name.trim(), value);
+        }
+    }
+    report
+}
+
+fn request(target: &Target, work: &Work, left: Nanos) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256 + work.path.len() + work.body.len());
+    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|p| out.extend_from_slice(p));
+    put(&[&work.method, b" ", &work.path, b" HTTP/1.1\r\nHost: ", target.dial.to_string().as_bytes()]);
+    put(&[b"\r\nX-Correlation-Id: ", &work.correlation]);
+    put(&[b"\r\nX-Time-Left: ", format!("{:.3}", left as f64 / 1e9).as_bytes()]);
+    if let Some(key) = &work.key {
+        put(&[b"\r\nIdempotency-Key: ", key]);
+    }
+    if let Some(kind) = &work.content_type {
+        put(&[b"\r\nContent-Type: ", kind]);
+    }
+    put(&[b"\r\nContent-Length: ", work.body.len().to_string().as_bytes(), b"\r\n\r\n", &work.body]);
+    out
+}
+
+/// The module gives a forward up.
+pub fn cancel(s: &Rc<Scheduler>, id: RequestId, n: u32) {
+    give_up(s, id, n, Outcome::Cancelled);
+}
+
+/// The time of a forward is over.
+pub fn time_out(s: &Rc<Scheduler>, id: RequestId, n: u32) {
+    give_up(s, id, n, Outcome::Timeout);
+}
+
+/// Stops waiting for a forward, and says so on the wire: before the 202 by closing the connection, after it
+/// by a call. What was never written in full has never run.
+fn give_up(s: &Rc<Scheduler>, id: RequestId, n: u32, why: Outcome) {
+    let mut book = s.book.borrow_mut();
+    let Some(forward) = book.forward(id, n).filter(|f| f.stage != Stage::Ended) else { return };
+    let (to, stage) = (forward.target, forward.stage);
+    let outcome = match (stage, why) {
+        (Stage::Unsent, Outcome::Timeout) => Outcome::NoConnection,
+        (Stage::Unsent, _) => Outcome::NotSent,
+        _ => why,
+    };
+    if stage == Stage::Taken {
+        let undone = Rc::new(Notify::new());
+        forward.undoing = Some(Rc::clone(&undone));
+        book.counters.undone += 1;
+        let correlation = book.flow(id).map(|f| f.work.correlation.clone()).unwrap_or_default();
+        let s = Rc::clone(s);
+        tokio::task::spawn_local(async move {
+            let path = format!("/jobs/{}", String::from_utf8_lossy(&correlation));
+            let _ = call(&s, to, "DELETE", &path).await;
+            undone.notify_one();
+        });
+    } else if let Some(task) = forward.task.take() {
+        task.abort();
+    }
+    drop(book);
+    relay::ended(s, id, n, outcome, None);
+}
+
+/// A small call without a body, and its answer.
+async fn call(s: &Scheduler, to: WorkerId, method: &str, path: &str) -> Result<Message, Fault> {
+    let target = s.group.target(to).ok_or(Fault::Broken)?;
+    let mut link = connect(s, to, &target).await.ok_or(Fault::Broken)?;
+    let text = format!("{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n", target.dial);
+    let exchange = async {
+        link.wire.write(text.as_bytes()).await?;
+        link.wire.read(Kind::Response).await
+    };
+    let answer = tokio::time::timeout(CALL, exchange).await.map_err(|_| Fault::Broken)??;
+    put_back(s, to, link, &answer);
+    Ok(answer)
+}
+
+/// Asks a target for its load, or for a sign of life where there are no reports.
+pub fn probe(s: &Rc<Scheduler>, to: WorkerId) {
+    s.book.borrow_mut().counters.probes += 1;
+    let (s, sent) = (Rc::clone(s), s.clock.now());
+    tokio::task::spawn_local(async move {
+        let path = if s.config.settings.reports == Reports::None { "/healthz" } else { "/load" };
+        let (outcome, report) = match call(&s, to, "GET", path).await {
+            Ok(answer) => {
+                let outcome = if answer.status == 200 { Outcome::Served } else { Outcome::Error };
+                let text = std::str::from_utf8(&answer.body).unwrap_or("").trim();
+                (outcome, (!text.is_empty()).then(|| read_report(&s, text)))
+            }
+            Err(_) => (Outcome::NoConnection, None),
+        };
+        let latency = s.clock.now().saturating_sub(sent);
+        let ended = Ended { outcome, latency, closed: false, report };
+        route::feed(&s, Event::Probed { worker: to, ended });
+    });
+}
+
+/// Looks through the idle connections, now and then.
+pub fn sweep(s: &Scheduler) {
+    let now = s.clock.now();
+    s.pool.sweep(now);
+    s.wheel.set(now + SWEEP, Due::Sweep);
+}
--- /dev/null
+++ b/src/net/wheel.rs
@@ -0,0 +1,124 @@
+//! Timers as coarse ticks on a wheel. Timers are not revoked: what no longer matters is ignored when due.
+
+use super::Scheduler;
+use loomlb::{Nanos, RequestId};
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The length of a tick.
+const TICK: Nanos = 1_000_000;
+const SLOTS: usize = 1024;
+
+/// What to do when a timer is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// A timer of the module.
+    Module(u64),
+    /// The time of a forward is over.
+    Forward(RequestId, u32),
+    /// The deadline of a flow has come.
+    Deadline(RequestId),
+    /// Connections are to be looked through.
+    Sweep,
+}
+
+#[derive(Debug)]
+struct Slots {
+    slots: Vec<Vec<(u64, Due)>>,
+    /// The next tick to be served.
+    next: u64,
+    count: usize,
+}
+
+/// The wheel: slot `t % SLOTS` holds what is due at tick `t`, this round or a later one.
+#[derive(Debug)]
+pub struct Wheel {
+    inner: RefCell<Slots>,
+    /// Something is due earlier than all before.
+    earlier: Notify,
+}
+
+impl Wheel {
+    /// An empty wheel that starts now.
+    pub fn new(now: Nanos) -> Self {
+        let slots = vec![Vec::new(); SLOTS];
+        Wheel { inner: RefCell::new(Slots { slots, next: now / TICK, count: 0 }), earlier: Notify::new() }
+    }
+
+    /// Sets a timer for the first tick at or after `at`.
+    pub fn set(&self, at: Nanos, due: Due) {
+        let mut inner = self.inner.borrow_mut();
+        let tick = at.div_ceil(TICK).max(inner.next);
+        inner.slots[tick as usize % SLOTS].push((tick, due));
+        inner.count += 1;
+        drop(inner);
+        self.earlier.notify_one();
+    }
+
+    /// The time of the next slot that holds anything of this round; a round ahead if none does.
+    fn upcoming(&self) -> Option<Nanos> {
+        let inner = self.inner.borrow();
+        if inner.count == 0 {
+            return None;
+        }
+        let round = inner.next..inner.next + SLOTS as u64;
+        let found = round.clone().find(|t| inner.slots[*t as usize % SLOTS].iter().any(|e| e.0 <= *t));
+        Some(found.unwrap_or(round.end) * TICK)
+    }
+
+    /// Takes out what is due by now, in order.
+    fn take(&self, now: Nanos) -> Vec<Due> {
+        let mut inner = self.inner.borrow_mut();
+        let (last, mut due) = (now / TICK, Vec::new());
+        // After a long stall one round visits every slot.
+        let first = inner.next.max((last + 1).saturating_sub(SLOTS as u64));
+        for t in first..=last {
+            inner.slots[t as usize % SLOTS].retain(|e| {
+                e.0 > last || {
+                    due.push(*e);
+                    false
+                }
+            });
+        }
+        inner.count -= due.len();
+        inner.next = inner.next.max(last + 1);
+        due.sort_by_key(|e| e.0);
+        due.into_iter().map(|e| e.1).collect()
+    }
+}
+
+/// Turns the wheel for as long as the program runs.
+pub async fn turn(s: Rc<Scheduler>) {
+    loop {
+        match s.wheel.upcoming() {
+            None => s.wheel.earlier.notified().await,
+            Some(at) => tokio::select! {
+                () = tokio::time::sleep_until(s.clock.instant(at)) => {}
+                () = s.wheel.earlier.notified() => {}
+            },
+        }
+        for due in s.wheel.take(s.clock.now()) {
+            super::due(&s, due);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn timers_come_due_in_order_across_rounds_and_stalls() {
+        let wheel = Wheel::new(0);
+        let round = SLOTS as Nanos * TICK;
+        for at in [3 * round + 5, 7 * TICK, 2 * TICK + 1] {
+            wheel.set(at, Due::Module(at));
+        }
+        assert_eq!(wheel.upcoming(), Some(3 * TICK));
+        assert_eq!(wheel.take(2 * TICK + 1), []);
+        assert_eq!(wheel.take(round), [Due::Module(2 * TICK + 1), Due::Module(7 * TICK)]);
+        assert_eq!(wheel.take(9 * round), [Due::Module(3 * round + 5)]);
+        assert_eq!(wheel.upcoming(), None);
+    }
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cypresspass-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_loomlb-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,7 +1,7 @@
 //! The decision module through its public interface.
 
-use cypresspass::rules::Network;
-use cypresspass::*;
+use loomlb::rules::Network;
+use loomlb::*;
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
