Tell stories of the built program over loopback sockets; wake the wheel only for earlier timers

Stories against scripted clients, targets and discovery: early, repeated and strange call-backs; giving up before and after the 202; a break after the last byte against a refused dial; silent discovery and a whole list; bad input; partial, chunked and continued bodies; SIGTERM.

The wheel's task was woken by every timer set (src/net/wheel.rs, set); now only by one due before it wakes by itself.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -194,6 +194,7 @@
     };
     let path = path.split('?').next().unwrap_or_default();
     let method = &*message.method;
+    log::trace!("{message:?}");
     match path {
         HEALTH if method != b"GET" => return Some(Reply::plain(405, "only GET is served here")),
         HEALTH if s.shutdown.begun() => return Some(Reply::plain(503, "ending")),
--- a/src/net/wheel.rs
+++ b/src/net/wheel.rs
@@ -2,7 +2,7 @@
 
 use super::Scheduler;
 use loomlb::{Nanos, RequestId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -28,14 +28,15 @@
     slots: Vec<Vec<(u64, Due)>>,
     /// The next tick to be served.
     next: u64,
-    count: usize,
 }
 
 /// The wheel: slot `t % SLOTS` holds what is due at tick `t`, this round or a later one.
 #[derive(Debug)]
 pub struct Wheel {
     inner: RefCell<Slots>,
-    /// Something is due earlier than all before.
+    /// When the turning task wakes by itself.
+    wakes: Cell<Nanos>,
+    /// Something is due earlier than that.
     earlier: Notify,
 }
 
@@ -43,7 +44,8 @@
     /// An empty wheel that starts now.
     pub fn new(now: Nanos) -> Self {
         let slots = vec![Vec::new(); SLOTS];
-        Wheel { inner: RefCell::new(Slots { slots, next: now / TICK, count: 0 }), earlier: Notify::new() }
+        let inner = RefCell::new(Slots { slots, next: now / TICK });
+        Wheel { inner, wakes: Cell::new(0), earlier: Notify::new() }
     }
 
     /// Sets a timer for the first tick at or after `at`.
@@ -51,20 +53,17 @@
         let mut inner = self.inner.borrow_mut();
         let tick = at.div_ceil(TICK).max(inner.next);
         inner.slots[tick as usize % SLOTS].push((tick, due));
-        inner.count += 1;
-        drop(inner);
-        self.earlier.notify_one();
+        if tick * TICK < self.wakes.get() {
+            self.earlier.notify_one();
+        }
     }
 
     /// The time of the next slot that holds anything of this round; a round ahead if none does.
-    fn upcoming(&self) -> Option<Nanos> {
+    fn upcoming(&self) -> Nanos {
         let inner = self.inner.borrow();
-        if inner.count == 0 {
-            return None;
-        }
         let round = inner.next..inner.next + SLOTS as u64;
         let found = round.clone().find(|t| inner.slots[*t as usize % SLOTS].iter().any(|e| e.0 <= *t));
-        Some(found.unwrap_or(round.end) * TICK)
+        found.unwrap_or(round.end) * TICK
     }
 
     /// Takes out what is due by now, in order.
@@ -81,7 +80,6 @@
                 }
             });
         }
-        inner.count -= due.len();
         inner.next = inner.next.max(last + 1);
         due.sort_by_key(|e| e.0);
         due.into_iter().map(|e| e.1).collect()
@@ -91,12 +89,11 @@
 /// Turns the wheel for as long as the program runs.
 pub async fn turn(s: Rc<Scheduler>) {
     loop {
-        match s.wheel.upcoming() {
-            None => s.wheel.earlier.notified().await,
-            Some(at) => tokio::select! {
-                () = tokio::time::sleep_until(s.clock.instant(at)) => {}
-                () = s.wheel.earlier.notified() => {}
-            },
+        let at = s.wheel.upcoming();
+        s.wheel.wakes.set(at);
+        tokio::select! {
+            () = tokio::time::sleep_until(s.clock.instant(at)) => {}
+            () = s.wheel.earlier.notified() => {}
         }
         for due in s.wheel.take(s.clock.now()) {
             super::due(&s, due);
@@ -115,10 +112,10 @@
         for at in [3 * round + 5, 7 * TICK, 2 * TICK + 1] {
             wheel.set(at, Due::Module(at));
         }
-        assert_eq!(wheel.upcoming(), Some(3 * TICK));
+        assert_eq!(wheel.upcoming(), 3 * TICK);
         assert_eq!(wheel.take(2 * TICK + 1), []);
         assert_eq!(wheel.take(round), [Due::Module(2 * TICK + 1), Due::Module(7 * TICK)]);
         assert_eq!(wheel.take(9 * round), [Due::Module(3 * round + 5)]);
-        assert_eq!(wheel.upcoming(), None);
+        assert_eq!(wheel.upcoming(), 10 * round + TICK);
     }
 }
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,192 @@
+//! Stories of the built program on loopback sockets, one for each failure that it guards against.
+
+mod stage;
+
+use insta::assert_snapshot;
+use stage::{Server, Stage, job, list, response};
+
+#[test]
+fn call_backs_early_repeated_and_strange_end_a_flow_once() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    let mut forward = target.accept();
+    let head = forward.hear();
+    assert!(head.contains("X-Correlation-Id: a1\r\n") && head.ends_with("\r\n\r\nhi"), "{head}");
+    let done =
+        r#"{"id":"a1","from":"s-00000001","state":"done","result":"yes","load":{"inflight":1,"x0":3}}"#;
+    let mut said = vec![
+        stage.call_back(&done.replace("a1", "zz")),
+        stage.call_back(&done.replace("s-00000001", "s-00000002")),
+        stage.call_back(done),
+        stage.call_back(done),
+    ];
+    said.push(client.answer());
+    forward.say(&response("202 Accepted", ""));
+    client.say(&job("view", "a2", "3.000"));
+    said.push(forward.hear().lines().next().unwrap().to_string());
+    assert_snapshot!(said.join("\n"), @r"
+    HTTP/1.1 200 OK | noted
+    HTTP/1.1 200 OK | noted
+    HTTP/1.1 200 OK | noted
+    HTTP/1.1 200 OK | noted
+    HTTP/1.1 200 OK | yes
+    POST /view/7f HTTP/1.1
+    ");
+    assert_snapshot!(stage.counters(&["served", "call_backs", "call_backs_unknown", "dials"]), @"served=1 dials=1 call_backs=4 call_backs_unknown=3");
+}
+
+#[test]
+fn giving_up_closes_before_the_202_and_deletes_after_it() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut early = stage.connect();
+    early.say(&job("lodge", "a1", "0.300"));
+    let mut forward = target.accept();
+    forward.hear();
+    assert!(forward.closed());
+    let mut late = stage.connect();
+    late.say(&job("lodge", "a2", "0.300"));
+    let mut forward = target.accept();
+    forward.hear();
+    forward.say(&response("202 Accepted", ""));
+    let given_up = forward.hear();
+    assert_snapshot!([early.answer(), late.answer(), given_up.lines().next().unwrap().into()].join("\n"), @r"
+    HTTP/1.1 502 Bad Gateway | failed
+    HTTP/1.1 502 Bad Gateway | failed
+    DELETE /jobs/a2 HTTP/1.1
+    ");
+    assert_snapshot!(stage.counters(&["failed", "overdue", "Timeout", "undone"]), @"failed=2 overdue=0 Timeout=2 undone=1");
+}
+
+#[test]
+fn a_break_after_the_last_byte_is_never_resent_and_a_refused_dial_is() {
+    let (discovery, target, dead) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut client = stage.connect();
+    client.say(&job("lodge", "a1", "3.000"));
+    target.accept().hear();
+    let broken = client.answer();
+    let mut news = discovery.accept();
+    news.hear();
+    news.say(&response("200 OK", &list(2, true, &[dead.entry("active")])));
+    news.hear();
+    drop(dead);
+    assert_snapshot!([broken, stage.ask(&job("lodge", "a2", "0.500"))].join("\n"), @r"
+    HTTP/1.1 502 Bad Gateway | failed
+    HTTP/1.1 503 Service Unavailable | refused
+    ");
+    assert_snapshot!(stage.counters(&["forwards", "NoConnection", "Reset", "refused", "failed"]), @"refused=1 failed=1 forwards=2 NoConnection=1 Reset=1");
+}
+
+#[test]
+fn a_silent_discovery_keeps_the_list_and_a_whole_list_drops_who_is_absent() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let stage = Stage::new(&[&one], &discovery);
+    let silent = discovery.accept();
+    assert_snapshot!(stage.ask("GET /healthz HTTP/1.1\r\n\r\n"), @"HTTP/1.1 200 OK | ready");
+    let mut news = discovery.accept();
+    let mut said = vec![news.hear()];
+    news.say(&response("200 OK", &list(7, true, &[two.entry("active")])));
+    said.push(news.hear());
+    let said: Vec<&str> = said.iter().filter_map(|s| s.lines().next()).collect();
+    assert_snapshot!(said.join("\n"), @r"
+    GET /v1/servers HTTP/1.1
+    GET /v1/servers?from=7&hold_ms=5000 HTTP/1.1
+    ");
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    assert!(two.accept().hear().contains("a1"));
+    drop(silent);
+}
+
+#[test]
+fn bad_input_gets_a_plain_answer_and_is_never_forwarded() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let good = job("view", "a1", "3.000");
+    let long = format!("GET / HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(17_000));
+    let said: Vec<String> = [
+        "no http at all\r\n\r\n",
+        &long,
+        "POST /view/1 HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+        "POST /view/1 HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nhi",
+        "GET /nowhere HTTP/1.1\r\n\r\n",
+        "DELETE /healthz HTTP/1.1\r\n\r\n",
+        &good.replace("POST", "GET"),
+        &good.replace("Class: view", "Class: other"),
+        &good.replace("Id: a1", "Id: a/1"),
+        &good.replace("X-Correlation-Id: a1\r\n", ""),
+        &good.replace("3.000", "soon"),
+        "POST /v1/job-events HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+    ]
+    .iter()
+    .map(|text| stage.ask(text))
+    .collect();
+    assert_snapshot!(said.join("\n"), @r"
+    HTTP/1.1 400 Bad Request | malformed request
+    HTTP/1.1 431 Request Header Fields Too Large | head too large
+    HTTP/1.1 413 Content Too Large | body too large
+    HTTP/1.1 400 Bad Request | malformed request
+    HTTP/1.1 404 Not Found | unknown path
+    HTTP/1.1 405 Method Not Allowed | only GET is served here
+    HTTP/1.1 405 Method Not Allowed | only POST is served here
+    HTTP/1.1 400 Bad Request | unknown class
+    HTTP/1.1 400 Bad Request | missing or bad id
+    HTTP/1.1 400 Bad Request | missing or bad id
+    HTTP/1.1 400 Bad Request | malformed X-Time-Left
+    HTTP/1.1 400 Bad Request | malformed call-back
+    ");
+    assert_snapshot!(stage.counters(&["flows", "forwards", "bad_400", "bad_404", "bad_405", "bad_413", "bad_431"]), @"flows=0 bad_400=7 bad_404=1 bad_405=2 bad_413=1 bad_431=1 forwards=0");
+}
+
+#[test]
+fn bodies_come_in_parts_in_chunks_and_after_a_continue() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut client = stage.connect();
+    let head = job("view", "a1", "3.000").replace("Content-Length: 2", "Transfer-Encoding: chunked");
+    let head = head.replace("\r\n\r\nhi", "\r\nExpect: 100-continue\r\n\r\n");
+    let (first, rest) = head.split_at(40);
+    client.say(first);
+    client.say(rest);
+    let mut said = vec![client.answer()];
+    client.say("5;x=y\r\nhello\r\n1\r\n");
+    client.say("!\r\n0\r\nTrailer: t\r\n\r\n");
+    let mut forward = target.accept();
+    said.push(forward.hear().rsplit("\r\n").next().unwrap().to_string());
+    forward.say("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nX-Backend-Load: inflight=9,x0=0\r\nContent-Length: 0\r\n\r\n");
+    drop(client);
+    assert_snapshot!(said.join("\n"), @r"
+    HTTP/1.1 100 Continue | 
+    hello!
+    ");
+    while stage.counters(&["gone", "Full"]) != "gone=1 Full=1" {}
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_still_accepts() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let mut stage = Stage::new(&[&target], &discovery);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "5.000"));
+    let mut forward = target.accept();
+    forward.hear();
+    forward.say(&response("202 Accepted", ""));
+    stage.signal("TERM");
+    stage.logged("asked to end");
+    let mut late = stage.connect();
+    late.say(&job("view", "a2", "5.000"));
+    forward.hear();
+    for id in ["a1", "a2"] {
+        let done = r#"{"id":"ID","from":"s-00000001","state":"done","result":"yes"}"#.replace("ID", id);
+        assert!(stage.call_back(&done).contains("200 OK"));
+    }
+    forward.say(&response("202 Accepted", ""));
+    for line in [&mut client, &mut late] {
+        let answer = line.hear();
+        assert!(answer.contains("200 OK") && answer.contains("Connection: close\r\n"), "{answer}");
+    }
+    assert!(stage.ended());
+}
--- /dev/null
+++ b/tests/stage/mod.rs
@@ -0,0 +1,182 @@
+//! A stage for stories: the built program between scripted clients, targets and discovery on loopback.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+/// Longer than anything here takes; only a failure waits for it.
+const LONG: Duration = Duration::from_secs(20);
+
+const SETTINGS: &str = r#"{"balancers":1,"zones":["z"],"my_zone":"z","kinds":["k"],"tick":2000000,
+"registry_mode":"automatic","load_report":{"how":"inline","fields":["rif","x0"]},
+"classes":[{"name":"view","aim":900000000,"give_up":5000000000,"worth":1.0,"effect":"idempotent"},
+{"name":"lodge","aim":900000000,"give_up":5000000000,"worth":1.0,"effect":"at_most_once"}],
+"ceilings":{"cancel":true,"max_attempts":2,"retry_after":true,"max_retry_after":2000000000,
+"dial_timeout":1000000000,"keepalive":60000000000},"obligations":{"drain_grace":1000000000}}"#;
+
+/// One side of a connection that speaks HTTP by hand.
+pub struct Line(BufReader<TcpStream>);
+
+impl Line {
+    pub fn new(stream: TcpStream) -> Line {
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Line(BufReader::new(stream))
+    }
+    pub fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+    /// The next message, or what came of it before the other side closed.
+    pub fn hear(&mut self) -> String {
+        let (mut text, mut length) = (String::new(), 0);
+        loop {
+            let start = text.len();
+            if self.0.read_line(&mut text).unwrap_or(0) == 0 {
+                return text;
+            }
+            let line = text[start..].to_ascii_lowercase();
+            if let Some(value) = line.strip_prefix("content-length:") {
+                length = value.trim().parse().unwrap();
+            }
+            if line == "\r\n" {
+                let mut body = vec![0; length];
+                self.0.read_exact(&mut body).unwrap();
+                return text + &String::from_utf8(body).unwrap();
+            }
+        }
+    }
+    /// The status line and the body of the next message.
+    pub fn answer(&mut self) -> String {
+        let text = self.hear();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        format!("{} | {}", head.lines().next().unwrap_or("closed"), body.trim())
+    }
+    /// Waits until the other side closes.
+    pub fn closed(&mut self) -> bool {
+        matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
+    }
+}
+
+/// A scripted server: a target or discovery.
+pub struct Server {
+    pub name: String,
+    listener: TcpListener,
+}
+
+impl Server {
+    pub fn new(name: &str) -> Server {
+        Server { name: name.to_string(), listener: TcpListener::bind("127.0.0.1:0").unwrap() }
+    }
+    pub fn at(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+    pub fn accept(&self) -> Line {
+        Line::new(self.listener.accept().unwrap().0)
+    }
+    /// Its entry in discovery's list.
+    pub fn entry(&self, health: &str) -> String {
+        let (host, dial) = (&self.name, self.at());
+        format!(
+            r#"{{"host":"{host}","dial":"{dial}","site":"z","class":"k","block":0,"health":"{health}","share":1.0,"born_ms":0}}"#
+        )
+    }
+}
+
+/// A list in discovery's form.
+pub fn list(seq: u32, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
+}
+
+/// A response with a body.
+pub fn response(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A job of a class, as a client sends it.
+pub fn job(class: &str, id: &str, seconds: &str) -> String {
+    format!(
+        "POST /{class}/7f HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {class}\r\n\
+         X-Time-Left: {seconds}\r\nContent-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// The program, running.
+pub struct Stage {
+    child: Child,
+    pub at: SocketAddr,
+    log: Receiver<String>,
+    _files: tempfile::TempDir,
+}
+
+impl Stage {
+    /// Starts it knowing these targets.
+    pub fn new(known: &[&Server], discovery: &Server) -> Stage {
+        let entries: Vec<String> = known.iter().map(|t| t.entry("active")).collect();
+        let config = format!(
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","known":{},"settings":{SETTINGS}}}"#,
+            discovery.at(),
+            list(1, true, &entries)
+        );
+        let files = tempfile::tempdir().unwrap();
+        let file = files.path().join("config.json");
+        std::fs::write(&file, config).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_loomlb"))
+            .args(["serve", "--config"])
+            .arg(&file)
+            .env_clear()
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (tell, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
+        let mut stage = Stage { child, at: ([127, 0, 0, 1], 0).into(), log, _files: files };
+        stage.at = stage.logged("serves at ").parse().unwrap();
+        stage
+    }
+    /// What follows these words in the log.
+    pub fn logged(&self, words: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).unwrap();
+            if let Some((_, rest)) = line.split_once(words) {
+                return rest.to_string();
+            }
+        }
+    }
+    pub fn connect(&self) -> Line {
+        Line::new(TcpStream::connect(self.at).unwrap())
+    }
+    /// The answer to one request on a connection of its own.
+    pub fn ask(&self, text: &str) -> String {
+        let mut line = self.connect();
+        line.say(text);
+        line.answer()
+    }
+    pub fn call_back(&self, body: &str) -> String {
+        let length = body.len();
+        self.ask(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"))
+    }
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+    /// The counters named, as of now.
+    pub fn counters(&self, names: &[&str]) -> String {
+        self.signal("USR1");
+        let all = self.logged("counters: ");
+        let words = all.split([' ', ';']).filter(|w| names.iter().any(|n| w.starts_with(&format!("{n}="))));
+        words.collect::<Vec<_>>().join(" ")
+    }
+    /// Waits for its end; whether that was orderly.
+    pub fn ended(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
