Count connections that are ending against the listener's descriptors

At fault: the seat was dropped before lingering in src/net/intake.rs (serve). Ruled out: idle keep-alive connections, which were counted and pushed out.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -159,8 +159,13 @@
         match tokio::time::timeout(TAKEN, wire.write(&text)).await {
             Ok(Ok(())) if keep_alive => {}
             Ok(Ok(())) => {
-                drop(seat);
-                return wire.linger().await;
+                // The seat stays taken: a connection that ends holds a descriptor like any other, and one that
+                // its client does not close would else go uncounted.
+                seat.idle(Some(s.clock.now()));
+                return tokio::select! {
+                    () = wire.linger() => {}
+                    () = seat.close.notified() => {}
+                };
             }
             _ => return,
         }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -141,6 +141,21 @@
     assert_snapshot!(stage.counters(&["flows", "forwards", "bad_400", "bad_404", "bad_405", "bad_413", "bad_431"]), @"flows=0 bad_400=7 bad_404=1 bad_405=2 bad_413=1 bad_431=1 forwards=0");
 }
 
+#[test]
+fn connections_idle_or_ending_make_room_within_the_descriptors() {
+    let discovery = Server::new("d");
+    let stage = Stage::new(&[], &discovery);
+    let mut open = Vec::new();
+    for i in 0..100 {
+        let last = if i < 50 { "Connection: close\r\n" } else { "" };
+        let mut line = stage.connect();
+        line.say(&format!("GET /healthz HTTP/1.1\r\n{last}\r\n"));
+        assert!(line.answer().contains("ready"));
+        open.push(line);
+    }
+    assert!(stage.descriptors() <= 64, "{}", stage.descriptors());
+}
+
 #[test]
 fn bodies_come_in_parts_in_chunks_and_after_a_continue() {
     let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -114,7 +114,7 @@
     pub fn new(known: &[&Server], discovery: &Server) -> Stage {
         let entries: Vec<String> = known.iter().map(|t| t.entry("active")).collect();
         let config = format!(
-            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","known":{},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","limits":{{"sockets":64}},"known":{},"settings":{SETTINGS}}}"#,
             discovery.at(),
             list(1, true, &entries)
         );
@@ -168,6 +168,10 @@
         let words = all.split([' ', ';']).filter(|w| names.iter().any(|n| w.starts_with(&format!("{n}="))));
         words.collect::<Vec<_>>().join(" ")
     }
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
     /// Waits for its end; whether that was orderly.
     pub fn ended(&mut self) -> bool {
         self.child.wait().unwrap().success()
