Say in a refusal when to come back: once those held have found a slot

Seen: every refusal of the module carried retry_after 0 (src/rules.rs, end), so a client learns nothing and is back at once; the users ask for advice instead. The advice is the time in which the jobs held and this one find a slot, as fast as jobs make room by their mean, spread by the request's id (no random number is drawn, so nothing else changes its course). Final answers go out at the same moment as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 use crate::fading::{Fading, fade, toward};
 use crate::message::Message;
-use crate::state::{Attempt, Job, Known, Learned, Random, Share};
+use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share};
 use rustc_hash::FxHashMap;
 
 /// Smoothing of the threshold T: how much of it stays at a payoff.
@@ -529,10 +529,21 @@
             Effect::Safe | Effect::Keyed(Group::All) => true,
             _ => job.may_have_run().next().is_none(),
         };
-        out.push(if harmless { Action::Refuse { id, retry_after: 0 } } else { Action::Fail(id) });
+        let retry_after = if harmless { self.come_back(id) } else { 0 };
+        out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
         self.gone(id);
     }
 
+    /// When a refused client had best come back: once those held here and it have found a slot, as fast as jobs
+    /// make room by their mean. Spread by its id, so that the refused do not return as one.
+    fn come_back(&self, id: RequestId) -> Nanos {
+        let most = self.set.limits.max_retry_after;
+        let slots: f64 = self.workers.iter().filter(|k| k.listed).filter_map(|k| self.slots(k)).sum();
+        let before = (1.0 + self.held.len() as f64) * self.mean_need.max(1.0);
+        let wait = self.mean_run * before / slots.max(1.0) * (0.5 + lean_of(KeyId(id.0), WorkerId(0)));
+        (wait as Nanos).max(self.set.tick).min(most)
+    }
+
     /// Nothing more is owed to a request; it is forgotten once none of its attempts is out.
     fn gone(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -882,23 +893,3 @@
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     (x ^ (x >> 31)) as f64 / u64::MAX as f64
 }
-
-/// Where a request may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Repeat {
-    Anywhere,
-    Zone(ZoneId),
-    Cell(CellId),
-    Never,
-}
-
-impl Repeat {
-    fn allows(self, worker: &Worker) -> bool {
-        match self {
-            Repeat::Anywhere => true,
-            Repeat::Zone(zone) => worker.zone == zone,
-            Repeat::Cell(cell) => worker.cell == cell,
-            Repeat::Never => false,
-        }
-    }
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,3 +113,24 @@
         Random(fastrand::Rng::with_seed(0))
     }
 }
+
+/// Where a request may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Repeat {
+    Anywhere,
+    Zone(ZoneId),
+    Cell(CellId),
+    Never,
+}
+
+impl Repeat {
+    /// Whether the worker is in the part of the fleet that it names.
+    pub(crate) fn allows(self, worker: &Worker) -> bool {
+        match self {
+            Repeat::Anywhere => true,
+            Repeat::Zone(zone) => worker.zone == zone,
+            Repeat::Cell(cell) => worker.cell == cell,
+            Repeat::Never => false,
+        }
+    }
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -78,6 +78,26 @@
 
 // ---- rule 1: one final answer
 
+/// A refusal without advice has its client back at once, and refused again.
+#[test]
+fn a_refusal_says_when_to_come_back_within_the_sites_limit() {
+    for most in [0, 3 * MS, 60 * S] {
+        let mut set = settings(Effect::Safe);
+        set.limits.max_retry_after = most;
+        let mut stage = Stage::new(set, &workers(1));
+        let (id, _) = stage.request(2 * S);
+        stage.ends(id, 0, Outcome::Served);
+        stage.list(ListKind::Complete, &[]);
+        let (_, mut said) = stage.request(2 * S);
+        while answers(&said).is_empty() {
+            stage.now += 10 * MS;
+            said = stage.event(Event::Timer(2));
+        }
+        let Action::Refuse { retry_after, .. } = answers(&said)[0] else { panic!("{said:?}") };
+        assert!(*retry_after <= most && (*retry_after > 0) == (most > 0), "{retry_after} of {most}");
+    }
+}
+
 #[test]
 fn without_a_worker_the_request_is_refused_before_its_client_leaves() {
     let mut stage = Stage::new(settings(Effect::Unsafe), &[]);
