--- a/src/rules.rs
+++ b/src/rules.rs
@@ -534,8 +534,8 @@
         self.gone(id);
     }
 
-    /// When a refused client had best come back: once those held here and it have found a slot, as fast as jobs
-    /// make room by their mean. Spread by its id, so that the refused do not return as one.
+    /// When a refused client had best come back: once those held here and it have found a slot, as fast as
+    /// jobs make room by their mean. Spread by its id, so that the refused do not return as one.
     fn come_back(&self, id: RequestId) -> Nanos {
         let most = self.set.limits.max_retry_after;
         let slots: f64 = self.workers.iter().filter(|k| k.listed).filter_map(|k| self.slots(k)).sum();
