--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -163,7 +163,12 @@
         if s.config.settings.ask_for_list {
             s.group.asked.notified().await;
         }
-        let fault = session(&s, &mut seq).await;
+        let fault = loop {
+            // A connection that was closed with its answer is no fault: the next watch must be quick.
+            if let Err(fault) = session(&s, &mut seq).await {
+                break fault;
+            }
+        };
         s.book.borrow_mut().counters.list_faults += 1;
         log::warn!("discovery: {fault}; the last list stays");
         if s.config.settings.ask_for_list {
@@ -173,10 +178,11 @@
     }
 }
 
-/// One connection to discovery: a call at once, then one watch after the other, until something fails.
-async fn session(s: &Rc<Scheduler>, seq: &mut Option<u64>) -> &'static str {
+/// One connection to discovery: a call at once, then one watch after the other, until it is closed in good
+/// order or something fails.
+async fn session(s: &Rc<Scheduler>, seq: &mut Option<u64>) -> Result<(), &'static str> {
     let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(s.config.discovery));
-    let Ok(Ok(stream)) = dial.await else { return "no connection" };
+    let Ok(Ok(stream)) = dial.await else { return Err("no connection") };
     let mut wire = Wire::new(stream);
     loop {
         let query = match seq {
@@ -185,16 +191,16 @@
         };
         let call = format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {}\r\n\r\n", s.config.discovery);
         if wire.write(call.as_bytes()).await.is_err() {
-            return "the connection broke";
+            return Err("the connection broke");
         }
         let patience = if seq.is_some() { HOLD + PATIENCE } else { PATIENCE };
         let answer = match tokio::time::timeout(patience, wire.read(Kind::Response)).await {
             Ok(Ok(answer)) if answer.status == 200 => answer,
-            Ok(Ok(_)) => return "an answer other than 200",
-            Ok(Err(_)) => return "the connection broke",
-            Err(_) => return "no answer",
+            Ok(Ok(_)) => return Err("an answer other than 200"),
+            Ok(Err(_)) => return Err("the connection broke"),
+            Err(_) => return Err("no answer"),
         };
-        let Ok(list) = serde_json::from_slice::<List>(&answer.body) else { return "a malformed list" };
+        let Ok(list) = serde_json::from_slice::<List>(&answer.body) else { return Err("a malformed list") };
         let kind = if list.whole { ListKind::Complete } else { ListKind::Partial };
         *seq = Some(list.seq);
         s.book.borrow_mut().counters.lists += 1;
@@ -202,7 +208,7 @@
             take(s, list, kind);
         }
         if !answer.keep_alive {
-            return "the connection was closed";
+            return Ok(());
         }
     }
 }
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -95,6 +95,7 @@
 /// Accepts connections for as long as the program runs. At the limit the idle make room, and if none is idle
 /// newcomers wait in the kernel's queue.
 pub async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
+    let mut failing = false;
     loop {
         if s.listener.seats.borrow().len() >= s.listener.limit {
             s.listener.evict();
@@ -103,12 +104,16 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
+                failing = false;
                 s.book.borrow_mut().counters.connections += 1;
                 tokio::task::spawn_local(serve(Seat::new(&s), stream));
             }
             Err(e) => {
                 s.book.borrow_mut().counters.accept_faults += 1;
-                log::warn!("accept: {e}");
+                // One line for a run of them: they come as fast as the pause allows.
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!("accept: {e}");
+                }
                 s.listener.evict();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
@@ -159,8 +164,8 @@
         match tokio::time::timeout(TAKEN, wire.write(&text)).await {
             Ok(Ok(())) if keep_alive => {}
             Ok(Ok(())) => {
-                // The seat stays taken: a connection that ends holds a descriptor like any other, and one that
-                // its client does not close would else go uncounted.
+                // The seat stays taken: a connection that ends holds a descriptor like any other, and one
+                // that its client does not close would else go uncounted.
                 seat.idle(Some(s.clock.now()));
                 return tokio::select! {
                     () = wire.linger() => {}
@@ -199,7 +204,7 @@
     };
     let path = path.split('?').next().unwrap_or_default();
     let method = &*message.method;
-    log::trace!("{message:?}");
+    log::trace!("{} {path}", String::from_utf8_lossy(method));
     match path {
         HEALTH if method != b"GET" => return Some(Reply::plain(405, "only GET is served here")),
         HEALTH if s.shutdown.begun() => return Some(Reply::plain(503, "ending")),
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -6,7 +6,6 @@
 use loomlb::{Ended, Event, Note, Outcome, Report, RequestId};
 use serde::Deserialize;
 use std::borrow::Cow;
-use std::collections::HashMap;
 use std::rc::Rc;
 
 /// Gives a flow its final answer; false if it has had one.
@@ -66,7 +65,7 @@
     state: Cow<'a, str>,
     share: Option<f64>,
     result: Option<String>,
-    load: Option<HashMap<String, f64>>,
+    load: Option<serde_json::Value>,
 }
 
 /// Takes in a call-back. It may be early, late, repeated, or of a forward given up: only the last forward of
@@ -88,9 +87,11 @@
         return true;
     };
     drop(book);
-    let report = said.load.map(|load| {
+    // A report that cannot be read must not cost the flow its result.
+    let report = said.load.as_ref().and_then(|load| load.as_object()).map(|load| {
         let mut report = Report::default();
-        load.iter().for_each(|(name, value)| s.config.terms.report(&mut report, name, *value));
+        let values = load.iter().filter_map(|(name, value)| Some((name, value.as_f64()?)));
+        values.for_each(|(name, value)| s.config.terms.report(&mut report, name, value));
         report
     });
     match &*said.state {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -210,3 +210,21 @@
     }
     assert!(stage.ended());
 }
+
+#[test]
+fn a_connection_that_its_target_has_closed_is_not_used_again() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    for id in ["a1", "a2"] {
+        let mut client = stage.connect();
+        client.say(&job("lodge", id, "3.000"));
+        let mut forward = target.accept();
+        forward.hear();
+        forward.say(&response("202 Accepted", ""));
+        // What cannot be read of a load must not cost the result.
+        let done = r#"{"id":"ID","from":"s-00000001","state":"done","result":"yes","load":{"x0":"?"}}"#;
+        stage.call_back(&done.replace("ID", id));
+        assert!(client.answer().ends_with("yes"));
+    }
+    assert_snapshot!(stage.counters(&["served", "dials", "reused", "Reset"]), @"served=2 Reset=0 dials=2 reused=0");
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -13,7 +13,7 @@
 "registry_mode":"automatic","load_report":{"how":"inline","fields":["rif","x0"]},
 "classes":[{"name":"view","aim":900000000,"give_up":5000000000,"worth":1.0,"effect":"idempotent"},
 {"name":"lodge","aim":900000000,"give_up":5000000000,"worth":1.0,"effect":"at_most_once"}],
-"ceilings":{"cancel":true,"max_attempts":2,"retry_after":true,"max_retry_after":2000000000,
+"ceilings":{"cancel":true,"may_tell":true,"max_attempts":2,"retry_after":true,"max_retry_after":2000000000,
 "dial_timeout":1000000000,"keepalive":60000000000},"obligations":{"drain_grace":1000000000}}"#;
 
 /// One side of a connection that speaks HTTP by hand.
@@ -112,9 +112,13 @@
 impl Stage {
     /// Starts it knowing these targets.
     pub fn new(known: &[&Server], discovery: &Server) -> Stage {
+        Stage::with(known, discovery, "")
+    }
+    /// The same with further keys of the configuration.
+    pub fn with(known: &[&Server], discovery: &Server, more: &str) -> Stage {
         let entries: Vec<String> = known.iter().map(|t| t.entry("active")).collect();
         let config = format!(
-            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","limits":{{"sockets":64}},"known":{},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","limits":{{"sockets":64}},{more}"known":{},"settings":{SETTINGS}}}"#,
             discovery.at(),
             list(1, true, &entries)
         );
