Wait until the peers' socket is writable, so that the first word to peers goes out

Seen: the story of peers' datagrams waited without end for the module's first message, its hello. At fault: Peers::open in src/net/peers.rs returned a socket of which the runtime did not know yet that it is writable, and try_send_to then reports that it would block, so the message was dropped in silence. Ruled out: the settings (may_tell is read) and the receivers (peers_all is used). The story failed before (no datagram within 3 s) and passes now.

--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -21,7 +21,13 @@
     /// Opens the socket if the configuration names one and the site allows messages.
     pub async fn open(config: &Config) -> io::Result<Peers> {
         match config.peer_listen.filter(|_| config.settings.limits.peers) {
-            Some(at) => Ok(Peers { socket: Some(UdpSocket::bind(at).await?) }),
+            Some(at) => {
+                let socket = UdpSocket::bind(at).await?;
+                // The runtime does not know yet that the socket is writable, and would drop the module's
+                // first word, by which the schedulers find each other.
+                socket.writable().await?;
+                Ok(Peers { socket: Some(socket) })
+            }
             None => Ok(Peers::default()),
         }
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -228,3 +228,23 @@
     }
     assert_snapshot!(stage.counters(&["served", "dials", "reused", "Reset"]), @"served=2 Reset=0 dials=2 reused=0");
 }
+
+#[test]
+fn datagrams_count_only_from_peers() {
+    let peer = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let more = format!(
+        r#""peer_listen":"127.0.0.1:0","peers":["127.0.0.1:1","{0}"],"peers_all":"{0}","#,
+        peer.local_addr().unwrap()
+    );
+    let stage = Stage::with(&[], &Server::new("d"), &more);
+    peer.set_read_timeout(Some(std::time::Duration::from_secs(3))).unwrap();
+    let mut hello = [0; 9];
+    let (length, from) = peer.recv_from(&mut hello).unwrap();
+    assert_eq!(hello[..length], [0, 0]);
+    let stranger = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    stranger.send_to(&[1, 0], from).unwrap();
+    peer.send_to(&[0; 300], from).unwrap();
+    peer.send_to(&[1, 0], from).unwrap();
+    assert!((0..200).any(|_| stage.counters(&["in"]) == "in=1"));
+    assert_snapshot!(stage.counters(&["in", "out"]), @"in=1 out=1");
+}
