Let the end of a connection reach the program before the story's next job

Seen: the story of a closed connection hung once in a clean checkout: its next job could come in the same turn of the loop as the end of the connection. A round of counters in between makes the order certain.

--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -225,6 +225,9 @@
         let done = r#"{"id":"ID","from":"s-00000001","state":"done","result":"yes","load":{"x0":"?"}}"#;
         stage.call_back(&done.replace("ID", id));
         assert!(client.answer().ends_with("yes"));
+        drop(forward);
+        // A turn of the program's loop, so that the end has reached it before the next job does.
+        stage.counters(&["served"]);
     }
     assert_snapshot!(stage.counters(&["served", "dials", "reused", "Reset"]), @"served=2 Reset=0 dials=2 reused=0");
 }
