SIGHUP reloads the configuration and follows discovery at its new address

Now src/net/reload.rs takes SIGHUP over before the listener can be known to serve, config.rs reads the same file again (its word on discovery wins over LB_DISCOVERY, which was set at the start; other changed keys are named in the log), and discovery drops its watch and asks the new address for the whole list at once. The old list stays until that answers. A faulty file is logged by its key and changes nothing.

Checked: the story fails without the handler (the program ends) and with LB_DISCOVERY winning (no call at the new address).

--- a/src/config.rs
+++ b/src/config.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Descriptors kept aside for the runtime, the log, discovery, peers and the listener itself.
 const RESERVED: usize = 32;
@@ -43,6 +43,21 @@
     pub names: Names,
     /// What the settings say to the network code.
     pub terms: Terms,
+    /// The file it was read from, and what stood there.
+    file: PathBuf,
+    keys: Keys,
+}
+
+/// A configuration as its file has it.
+type Keys = serde_json::Map<String, serde_json::Value>;
+
+/// What a reload changes.
+#[derive(Debug)]
+pub struct Fresh {
+    /// Where discovery answers now.
+    pub discovery: SocketAddr,
+    /// Keys that have changed as well, and are read at a start only.
+    pub postponed: Vec<String>,
 }
 
 #[derive(Deserialize, Default)]
@@ -81,13 +96,25 @@
             Some(path) => path.to_path_buf(),
             None => env("LB_CONFIG").ok_or("LB_CONFIG: not set, and no --config given")?.into(),
         };
-        let text = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text));
-        let mut raw: Raw = raw.map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        let (mut raw, keys) = Raw::read(&path)?;
         raw.name = env("LB_NAME").or(raw.name);
         raw.listen = env("LB_LISTEN").or(raw.listen);
         raw.discovery = env("LB_DISCOVERY").or(raw.discovery);
-        raw.check()
+        raw.check(path, keys)
+    }
+
+    /// Reads the same file again. `LB_DISCOVERY` was set at the start and cannot have changed since, so here
+    /// the file's own word on discovery counts.
+    pub fn reload(&self) -> Result<Fresh, String> {
+        let (mut raw, keys) = Raw::read(&self.file)?;
+        raw.listen = raw.listen.or_else(|| Some(self.listen.to_string()));
+        raw.discovery = raw.discovery.or_else(|| Some(self.discovery.to_string()));
+        let fresh = raw.check(self.file.clone(), keys)?;
+        // A seed and a known list are for a start, and another one each time.
+        let read = |key: &str| !["discovery", "seed", "known"].contains(&key);
+        let all = self.keys.keys().chain(fresh.keys.keys().filter(|k| !self.keys.contains_key(*k)));
+        let changed = all.filter(|k| read(k) && self.keys.get(*k) != fresh.keys.get(*k));
+        Ok(Fresh { discovery: fresh.discovery, postponed: changed.cloned().collect() })
     }
 }
 
@@ -100,7 +127,15 @@
 }
 
 impl Raw {
-    fn check(self) -> Result<Config, String> {
+    fn read(file: &Path) -> Result<(Raw, Keys), String> {
+        let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text));
+        let raw = raw.map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        let keys = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+        Ok((raw, keys))
+    }
+
+    fn check(self, file: PathBuf, keys: Keys) -> Result<Config, String> {
         let boot = needed("settings", self.settings)?;
         let (settings, names) = boot.read();
         if settings.classes.is_empty() {
@@ -140,6 +175,8 @@
             terms: boot.terms(),
             settings,
             names,
+            file,
+            keys,
         })
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,6 +30,7 @@
 
 Signals:
   SIGTERM, SIGINT  finish what was taken, then exit
+  SIGHUP           read the configuration again and follow discovery where it now says
   SIGUSR1          log the counters
 
 Exit status: 0 after an orderly end, 1 after a failure, 2 if the command line or configuration is faulty.
--- a/src/net/book.rs
+++ b/src/net/book.rs
@@ -101,6 +101,8 @@
     pub call_backs_unknown: u64,
     pub lists: u64,
     pub list_faults: u64,
+    pub reloads: u64,
+    pub reload_faults: u64,
     pub peers_in: u64,
     pub peers_out: u64,
     pub accept_faults: u64,
@@ -148,6 +150,7 @@
         write!(f, " undone={} dials={} reused={} probes={}", c.undone, c.dials, c.reused, c.probes)?;
         write!(f, "; call_backs={} call_backs_unknown={}", c.call_backs, c.call_backs_unknown)?;
         write!(f, "; lists={} list_faults={}", c.lists, c.list_faults)?;
+        write!(f, " reloads={} reload_faults={}", c.reloads, c.reload_faults)?;
         write!(f, "; peers: in={} out={}; panics={}", c.peers_in, c.peers_out, c.panics)
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,7 +5,7 @@
 use super::{Scheduler, route};
 use loomlb::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
 use serde::Deserialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,6 +39,9 @@
 pub struct Group {
     targets: RefCell<HashMap<WorkerId, Target>>,
     asked: Notify,
+    /// Where discovery answers, if a reload has named another address than the start did.
+    address: Cell<Option<SocketAddr>>,
+    moved: Notify,
 }
 
 #[derive(Deserialize, Default)]
@@ -91,6 +94,12 @@
     pub fn ask(&self) {
         self.asked.notify_one();
     }
+
+    /// Discovery answers at this address from now on.
+    pub fn follow_at(&self, address: SocketAddr) {
+        self.address.set(Some(address));
+        self.moved.notify_one();
+    }
 }
 
 /// Takes in a list and tells the module of it.
@@ -161,12 +170,20 @@
     let mut seq = None;
     loop {
         if s.config.settings.ask_for_list {
-            s.group.asked.notified().await;
+            tokio::select! {
+                () = s.group.asked.notified() => {}
+                () = s.group.moved.notified() => seq = None,
+            }
         }
         let fault = loop {
-            // A connection that was closed with its answer is no fault: the next watch must be quick.
-            if let Err(fault) = session(&s, &mut seq).await {
-                break fault;
+            tokio::select! {
+                // A connection that was closed with its answer is no fault: the next watch must be quick.
+                ended = session(&s, &mut seq) => if let Err(fault) = ended {
+                    break fault;
+                },
+                // At another address the versions may be others, and a watch that still waits at the old one
+                // would be told nothing more: the whole list is asked for at once. Until it comes the old stays.
+                () = s.group.moved.notified() => seq = None,
             }
         };
         s.book.borrow_mut().counters.list_faults += 1;
@@ -181,7 +198,8 @@
 /// One connection to discovery: a call at once, then one watch after the other, until it is closed in good
 /// order or something fails.
 async fn session(s: &Rc<Scheduler>, seq: &mut Option<u64>) -> Result<(), &'static str> {
-    let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(s.config.discovery));
+    let address = s.group.address.get().unwrap_or(s.config.discovery);
+    let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(address));
     let Ok(Ok(stream)) = dial.await else { return Err("no connection") };
     let mut wire = Wire::new(stream);
     loop {
@@ -189,7 +207,7 @@
             Some(seq) => format!("?from={seq}&hold_ms={}", HOLD.as_millis()),
             None => String::new(),
         };
-        let call = format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {}\r\n\r\n", s.config.discovery);
+        let call = format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         if wire.write(call.as_bytes()).await.is_err() {
             return Err("the connection broke");
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod intake;
 pub mod peers;
 pub mod relay;
+pub mod reload;
 pub mod route;
 pub mod send;
 pub mod shutdown;
@@ -76,6 +77,9 @@
         peers,
         config,
     });
+    // Before anyone can know that it serves: a signal that nobody has taken over ends the program.
+    reload::start(&s)?;
+    let signals = shutdown::Signals::new()?;
     log::info!("{} serves at {}", s.config.name, listener.local_addr()?);
     discovery::start(&s);
     send::sweep(&s);
@@ -83,9 +87,9 @@
     spawn_local(discovery::follow(Rc::clone(&s)));
     spawn_local(peers::listen(Rc::clone(&s)));
     spawn_local(intake::accept(Rc::clone(&s), listener));
-    let ended = shutdown::wait(&s).await;
+    shutdown::wait(&s, signals).await;
     log::info!("counters: {}", s.book.borrow().counters);
-    ended
+    Ok(())
 }
 
 /// A timer is due.
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 
 /// New connections keep arriving for a while after SIGTERM, as the front hears of it late.
@@ -32,17 +32,33 @@
     }
 }
 
+/// The signals that end the program or have it report.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    report: Signal,
+}
+
+impl Signals {
+    /// Takes them over from their defaults.
+    pub fn new() -> io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            report: signal(SignalKind::user_defined1())?,
+        })
+    }
+}
+
 /// Waits for the signals; returns once the program may end. Call-backs come to the listener, so it stays open
 /// until the last flow is answered.
-pub async fn wait(s: &Rc<Scheduler>) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut report = signal(SignalKind::user_defined1())?;
+pub async fn wait(s: &Rc<Scheduler>, mut signals: Signals) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = report.recv() => log::info!("counters: {}", s.book.borrow().counters),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.report.recv() => log::info!("counters: {}", s.book.borrow().counters),
         }
     }
     let now = s.clock.now();
@@ -55,7 +71,7 @@
             // One more turn: whatever the kernel holds for us by now gets read and answered.
             tokio::time::sleep(Duration::from_millis(20)).await;
             if s.book.borrow().owed() == 0 && s.listener.engaged() == 0 {
-                return Ok(());
+                return;
             }
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -251,3 +251,45 @@
     assert!((0..200).any(|_| stage.counters(&["in"]) == "in=1"));
     assert_snapshot!(stage.counters(&["in", "out"]), @"in=1 out=1");
 }
+
+#[test]
+fn a_reload_moves_to_the_files_discovery_and_a_faulty_one_changes_nothing() {
+    let (discovery, elsewhere) = (Server::new("d"), Server::new("e"));
+    let (one, two) = (Server::new("s-00000001"), Server::new("s-00000002"));
+    let mut stage = Stage::new(&[&one], &discovery);
+    let mut old = discovery.accept();
+    old.hear();
+    old.say(&response("200 OK", &list(7, true, &[one.entry("active")])));
+    old.hear();
+    let (here, there) = (discovery.at().to_string(), elsewhere.at().to_string());
+    stage.reload(&here, "here");
+    assert_snapshot!(stage.logged("configuration: "), @r#"discovery: "here" is no address of the form IP:PORT; the old one stays"#);
+    stage.reload(
+        r#""here","seed":"2a","limits":{"#,
+        &format!(r#""{there}","seed":"2b","limits":{{"cores":1,"#),
+    );
+    assert_snapshot!(stage.logged("configuration: "), @"limits: changed, read at the next start");
+    let mut new = elsewhere.accept();
+    let mut said = vec![new.hear().lines().next().unwrap().to_string()];
+    assert!(old.closed());
+    // The new address is silent so far: the list stays.
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    said.push(one.accept().hear().lines().next().unwrap().to_string());
+    new.say(&response("200 OK", &list(3, true, &[two.entry("active")])));
+    said.push(new.hear().lines().next().unwrap().to_string());
+    let mut other = stage.connect();
+    other.say(&job("view", "a2", "3.000"));
+    said.push(two.accept().hear().lines().nth(2).unwrap().to_string());
+    assert_snapshot!(said.join("\n"), @r"
+    GET /v1/servers HTTP/1.1
+    POST /view/7f HTTP/1.1
+    GET /v1/servers?from=3&hold_ms=5000 HTTP/1.1
+    X-Correlation-Id: a2
+    ");
+    assert_snapshot!(stage.counters(&["reloads", "reload_faults"]), @"reloads=1 reload_faults=1");
+    drop((client, other));
+    stage.signal("TERM");
+    stage.signal("HUP");
+    assert!(stage.ended());
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -106,7 +106,8 @@
     child: Child,
     pub at: SocketAddr,
     log: Receiver<String>,
-    _files: tempfile::TempDir,
+    config: String,
+    files: tempfile::TempDir,
 }
 
 impl Stage {
@@ -124,21 +125,28 @@
         );
         let files = tempfile::tempdir().unwrap();
         let file = files.path().join("config.json");
-        std::fs::write(&file, config).unwrap();
+        std::fs::write(&file, &config).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_loomlb"))
             .args(["serve", "--config"])
             .arg(&file)
             .env_clear()
+            .env("LB_DISCOVERY", discovery.at().to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let (tell, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
-        let mut stage = Stage { child, at: ([127, 0, 0, 1], 0).into(), log, _files: files };
+        let mut stage = Stage { child, at: ([127, 0, 0, 1], 0).into(), log, config, files };
         stage.at = stage.logged("serves at ").parse().unwrap();
         stage
     }
+    /// Changes words of its configuration and has it read again.
+    pub fn reload(&mut self, old: &str, new: &str) {
+        self.config = self.config.replacen(old, new, 1);
+        std::fs::write(self.files.path().join("config.json"), &self.config).unwrap();
+        self.signal("HUP");
+    }
     /// What follows these words in the log.
     pub fn logged(&self, words: &str) -> String {
         loop {
