Keep serving open connections after SIGTERM while answers can beat the kill

The log has the second scheduler asked to end at 15.9 s, while the first, ended at 16.3 s, was not up before 17.3 s: every answer of src/net/intake.rs closed its connection and src/net/shutdown.rs closed the idle ones after 0.7 s, so clients had nowhere to go. Ruled out by the counters: nothing turned back, no flow overdue, 1 to 4 failed.

Now connections stay in use for the notice and half of what the platform waits beyond it (2.2 s here); what is taken after SIGTERM gets a deadline 0.2 s before the earliest kill, so nothing taken late is lost by it.

Checked: the story fails before the change (the answer closes its connection).

--- a/src/net/admit.rs
+++ b/src/net/admit.rs
@@ -81,7 +81,8 @@
         book.counters.turned_back += 1;
         return Err(Rejection::NoRoom(NO_ROOM_WAIT.min(s.config.settings.limits.max_retry_after)));
     }
-    let remaining = offer.patience.unwrap_or(settings.deadline);
+    let patience = offer.patience.unwrap_or(settings.deadline);
+    let remaining = s.shutdown.answer_by().map_or(patience, |by| patience.min(by.saturating_sub(now)));
     let deadline = now.saturating_add(remaining);
     let (reply, answer) = oneshot::channel();
     let work = Rc::new(offer.work);
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -157,7 +157,7 @@
         };
         s.book.borrow_mut().counters.bad(reply.status);
         // Call-backs go on: what was taken cannot finish without them.
-        let keep_alive = keep_alive && (calls_back || !s.shutdown.begun());
+        let keep_alive = keep_alive && (calls_back || !s.shutdown.refusing(s.clock.now()));
         let wait = format!("{:.3}", reply.retry_after as f64 / 1e9);
         let headers: &[(&str, &str)] = if reply.retry_after > 0 { &[("Retry-After", &wait)] } else { &[] };
         let text = response(reply.status, headers, &reply.body, keep_alive);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -65,6 +65,7 @@
     let listener = TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?;
     let peers = peers::Peers::open(&config).await.map_err(|e| named("peer_listen", e))?;
     let clock = clock::Clock::new();
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let s = Rc::new(Scheduler {
         router: route::Router::new(Dispatcher::new(config.settings.clone(), config.seed)),
         wheel: wheel::Wheel::new(clock.now()),
@@ -72,7 +73,7 @@
         listener: intake::Listener::new(config.inbound),
         book: RefCell::default(),
         group: discovery::Group::default(),
-        shutdown: shutdown::Shutdown::default(),
+        shutdown: shutdown::Shutdown::new(longest),
         clock,
         peers,
         config,
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -9,26 +9,50 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 
-/// New connections keep arriving for a while after SIGTERM, as the front hears of it late.
-const ACCEPT_ON: Nanos = 700_000_000;
+/// The platform waits this long for what is under way when it asks for the end, and for the longest deadline,
+const NOTICE: Nanos = 700_000_000;
+/// of which it counts no more than this.
+const LONGEST: Nanos = 3_000_000_000;
+/// Time kept free before the platform may kill, for answers to get out.
+const MARGIN: Nanos = 200_000_000;
 
 /// Whether the end has been asked for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Shutdown {
     since: Cell<Option<Nanos>>,
+    /// What the platform waits for beyond its notice.
+    wait: Nanos,
     /// Told to idle connections when they are to close.
     pub close_idle: Notify,
 }
 
 impl Shutdown {
-    /// The end has been asked for: answers say that the connection closes.
+    /// For a scheduler whose clients wait no longer than `longest`.
+    pub fn new(longest: Nanos) -> Self {
+        Shutdown { since: Cell::new(None), wait: longest.min(LONGEST), close_idle: Notify::new() }
+    }
+
+    /// The end has been asked for.
     pub fn begun(&self) -> bool {
         self.since.get().is_some()
     }
 
-    /// Nothing new is taken any more.
+    /// When flows cease to be taken and connections close. Clients keep to the connections that they have, and
+    /// while a peer restarts as well nobody else serves them: so those stay in use for half of the wait, and
+    /// the other half is left to what was taken last.
+    fn closing(&self) -> Option<Nanos> {
+        self.since.get().map(|at| at + NOTICE + self.wait / 2)
+    }
+
+    /// Nothing new is taken any more: answers say that the connection closes.
     pub fn refusing(&self, now: Nanos) -> bool {
-        self.since.get().is_some_and(|at| now >= at + ACCEPT_ON)
+        self.closing().is_some_and(|at| now >= at)
+    }
+
+    /// By when a flow that is taken now must have its answer, if the end has been asked for: what is taken after
+    /// the notice is lost if the platform's kill finds it open.
+    pub fn answer_by(&self) -> Option<Nanos> {
+        self.since.get().map(|at| at + NOTICE + self.wait - MARGIN.min(self.wait / 4))
     }
 }
 
@@ -64,7 +88,7 @@
     let now = s.clock.now();
     s.shutdown.since.set(Some(now));
     log::info!("asked to end, {} flows to finish", s.book.borrow().owed());
-    tokio::time::sleep_until(s.clock.instant(now + ACCEPT_ON)).await;
+    tokio::time::sleep_until(s.clock.instant(s.shutdown.closing().unwrap_or(now))).await;
     loop {
         s.shutdown.close_idle.notify_waiters();
         if s.book.borrow().owed() == 0 && s.listener.engaged() == 0 {
