End connections that owe a request in 2 s; let silent ones make room first

Now the first request of a connection is whole within 2 s of its start, silent ones included, a later one within 2 s of its first byte; connections that owe a request make room before idle ones. What is written after an error is read, for nobody and at a pace, for up to 3 s. Repeated lengths and repeated id, class, time or key get 400.

Checked: the three stories fail before the change.

--- a/src/net/book.rs
+++ b/src/net/book.rs
@@ -105,6 +105,7 @@
     pub reload_faults: u64,
     pub peers_in: u64,
     pub peers_out: u64,
+    pub silent: u64,
     pub accept_faults: u64,
     pub panics: u64,
 }
@@ -141,7 +142,7 @@
         for (status, count) in BAD.iter().zip(c.bad) {
             write!(f, " bad_{status}={count}")?;
         }
-        write!(f, " accept_faults={}; answered: served={}", c.accept_faults, c.served)?;
+        write!(f, " silent={} accept_faults={}; answered: served={}", c.silent, c.accept_faults, c.served)?;
         write!(f, " refused={} failed={} gone={} overdue={}", c.refused, c.failed, c.gone, c.overdue)?;
         write!(f, "; sent: forwards={}", c.forwards)?;
         for (outcome, count) in OUTCOMES.iter().zip(c.outcomes) {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -11,6 +11,9 @@
 /// Nor a body than this.
 pub const MAX_BODY: usize = 64 * 1024;
 const MAX_HEADERS: usize = 64;
+/// A connection that ends is read for this long at most, and no longer than this after its last byte.
+const LINGER: Duration = Duration::from_secs(3);
+const QUIET: Duration = Duration::from_millis(500);
 
 /// Why no message could be read.
 #[derive(Debug)]
@@ -67,6 +70,11 @@
         self.header(name).and_then(|v| std::str::from_utf8(v).ok()).map(str::trim)
     }
 
+    /// Whether this header stands there more than once.
+    pub fn repeats(&self, name: &str) -> bool {
+        self.headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name.as_bytes())).count() > 1
+    }
+
     fn says(&self, name: &str, word: &str) -> bool {
         let mut values = self.headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name.as_bytes()));
         values
@@ -126,8 +134,8 @@
     Ok(Some(message))
 }
 
-/// How the body is framed. A message that says it in two ways is refused: the next reader on its way might
-/// believe the other one.
+/// How the body is framed. A message that says it twice is refused: the next reader on its way might believe
+/// the other one, and take what is hidden in the body for a request.
 fn framing(message: &Message, kind: Kind) -> Result<Framing, Fault> {
     let all = |name: &'static str| {
         message.headers.iter().filter(move |h| h.0.eq_ignore_ascii_case(name.as_bytes())).map(|h| &h.1)
@@ -136,7 +144,7 @@
     let mut length = None;
     for value in lengths {
         let text = std::str::from_utf8(value.trim_ascii()).map_err(|_| Fault::Malformed)?;
-        if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) || length.is_some_and(|l| l != text) {
+        if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) || length.is_some() {
             return Err(Fault::Malformed);
         }
         length = Some(text);
@@ -289,21 +297,31 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Reads what has come, for nobody; false if the other side has closed.
+    fn discard(&self) -> bool {
+        match self.stream.try_read(&mut [0; MAX_BODY]) {
+            Ok(n) => n > 0,
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Ends a connection on which more may be coming: closing at once would reset it, and the answer just
-    /// written could be lost with it.
+    /// written could be lost with it. A client that writes a large body before it reads anything is let finish
+    /// it, at a pace that leaves the core to others.
     pub async fn linger(mut self) {
+        const PACE: Duration = Duration::from_millis(1);
         let _ = self.stream.shutdown().await;
+        // No more memory for what nobody wants.
+        self.buf = BytesMut::new();
         let drain = async {
-            let mut left = 4 * MAX_BODY;
-            loop {
-                self.buf.clear();
-                match self.fill().await {
-                    Ok(n) if n > 0 && n < left => left -= n,
-                    _ => break,
+            while let Ok(Ok(())) = tokio::time::timeout(QUIET, self.stream.readable()).await {
+                if !self.discard() {
+                    break;
                 }
+                tokio::time::sleep(PACE).await;
             }
         };
-        let _ = tokio::time::timeout(Duration::from_millis(500), drain).await;
+        let _ = tokio::time::timeout(LINGER, drain).await;
     }
 }
 
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -11,9 +11,13 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
-/// A request that has begun is whole within this time.
-const WHOLE: Duration = Duration::from_secs(10);
+/// A request is whole within this time: the first one of a connection counted from its start, so that one which
+/// says nothing ends as well, a later one from its first byte.
+const WHOLE: Duration = Duration::from_secs(2);
+/// A connection younger than this may have its request on the way: others make room first.
+const PROBATION: Nanos = 250_000_000;
 /// An answer is read by its client within this time.
 const TAKEN: Duration = Duration::from_secs(10);
 /// Connections idle for longer are closed.
@@ -25,11 +29,23 @@
 const CALL_BACKS: &str = "/v1/job-events";
 const HEALTH: &str = "/healthz";
 
+/// What a connection is at.
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// It has come then, and has said nothing yet.
+    Silent(Nanos),
+    /// It has said a part of a request since then.
+    Partial(Nanos),
+    /// It is between requests, or ending, since then.
+    Idle(Nanos),
+    /// It waits for its answer.
+    Served,
+}
+
 /// A taken seat.
 #[derive(Debug)]
 struct Occupied {
-    /// Since when it is between requests, if it is.
-    idle: Option<Nanos>,
+    state: State,
     /// How to ask it to close.
     close: Rc<Notify>,
 }
@@ -51,13 +67,22 @@
 
     /// Connections that are within a request.
     pub fn engaged(&self) -> usize {
-        self.seats.borrow().values().filter(|s| s.idle.is_none()).count()
+        self.seats.borrow().values().filter(|s| matches!(s.state, State::Partial(_) | State::Served)).count()
     }
 
-    /// Asks the connection idle for longest to close.
-    fn evict(&self) {
+    /// Asks one connection to close: the one that has owed a request for longest, else the one idle for longest,
+    /// which at worst crosses a request that its client sends again; only then one that has just come. Call-backs
+    /// need a seat too, and would else wait behind connections that say nothing or half of something.
+    fn evict(&self, now: Nanos) {
         let seats = self.seats.borrow();
-        if let Some(seat) = seats.values().filter(|s| s.idle.is_some()).min_by_key(|s| s.idle) {
+        let rank = |seat: &&Occupied| match seat.state {
+            State::Silent(since) | State::Partial(since) => {
+                Some((if now >= since + PROBATION { 0 } else { 2 }, since))
+            }
+            State::Idle(since) => Some((1, since)),
+            State::Served => None,
+        };
+        if let Some(seat) = seats.values().filter(|s| rank(s).is_some()).min_by_key(rank) {
             seat.close.notify_one();
         }
     }
@@ -74,13 +99,14 @@
     fn new(s: &Rc<Scheduler>) -> Self {
         let number = s.listener.next.replace(s.listener.next.get() + 1);
         let close = Rc::new(Notify::new());
-        s.listener.seats.borrow_mut().insert(number, Occupied { idle: None, close: Rc::clone(&close) });
+        let occupied = Occupied { state: State::Silent(s.clock.now()), close: Rc::clone(&close) };
+        s.listener.seats.borrow_mut().insert(number, occupied);
         Seat { s: Rc::clone(s), number, close }
     }
 
-    fn idle(&self, since: Option<Nanos>) {
+    fn is(&self, state: State) {
         if let Some(seat) = self.s.listener.seats.borrow_mut().get_mut(&self.number) {
-            seat.idle = since;
+            seat.state = state;
         }
     }
 }
@@ -92,13 +118,13 @@
     }
 }
 
-/// Accepts connections for as long as the program runs. At the limit the idle make room, and if none is idle
-/// newcomers wait in the kernel's queue.
+/// Accepts connections for as long as the program runs. At the limit others make room, and if all wait for their
+/// answers newcomers wait in the kernel's queue.
 pub async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
     let mut failing = false;
     loop {
         if s.listener.seats.borrow().len() >= s.listener.limit {
-            s.listener.evict();
+            s.listener.evict(s.clock.now());
             let _ = tokio::time::timeout(ACCEPT_PAUSE, s.listener.left.notified()).await;
             continue;
         }
@@ -114,7 +140,7 @@
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!("accept: {e}");
                 }
-                s.listener.evict();
+                s.listener.evict(s.clock.now());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -137,23 +163,39 @@
 async fn serve(seat: Seat, stream: TcpStream) {
     let s = Rc::clone(&seat.s);
     let mut wire = Wire::new(stream);
-    let mut calls_back = false;
+    let (mut calls_back, mut first) = (false, true);
+    let begun = Instant::now();
     loop {
-        if !wire.has_input() && !wait(&seat, &mut wire, calls_back).await {
-            return;
+        if !wire.has_input() {
+            let now = s.clock.now();
+            let until = if first { begun + WHOLE } else { Instant::now() + IDLE };
+            seat.is(if first { State::Silent(now) } else { State::Idle(now) });
+            if !wait(&seat, &mut wire, calls_back, until).await {
+                s.book.borrow_mut().counters.silent += u64::from(first);
+                return;
+            }
         }
-        let (reply, keep_alive) = match tokio::time::timeout(WHOLE, wire.read(Kind::Request)).await {
-            Ok(Ok(message)) => {
+        seat.is(State::Partial(s.clock.now()));
+        let whole_by = if first { begun } else { Instant::now() } + WHOLE;
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout_at(whole_by, wire.read(Kind::Request)) => read.ok(),
+            () = seat.close.notified() => None,
+        };
+        first = false;
+        let (reply, keep_alive) = match read {
+            Some(Ok(message)) => {
+                seat.is(State::Served);
                 let path = message.path.split(|b| *b == b'?').next().unwrap_or_default();
                 calls_back = path == CALL_BACKS.as_bytes();
                 let Some(reply) = handle(&s, &mut wire, &message).await else { return };
                 (reply, message.keep_alive)
             }
-            Ok(Err(Fault::Closed | Fault::Broken)) => return,
-            Ok(Err(Fault::Malformed)) => (Reply::plain(400, "malformed request"), false),
-            Ok(Err(Fault::HeadTooLarge)) => (Reply::plain(431, "head too large"), false),
-            Ok(Err(Fault::BodyTooLarge)) => (Reply::plain(413, "body too large"), false),
-            Err(_) => (Reply::plain(408, "request not whole in time"), false),
+            Some(Err(Fault::Closed | Fault::Broken)) => return,
+            Some(Err(Fault::Malformed)) => (Reply::plain(400, "malformed request"), false),
+            Some(Err(Fault::HeadTooLarge)) => (Reply::plain(431, "head too large"), false),
+            Some(Err(Fault::BodyTooLarge)) => (Reply::plain(413, "body too large"), false),
+            None => (Reply::plain(408, "request not whole in time"), false),
         };
         s.book.borrow_mut().counters.bad(reply.status);
         // Call-backs go on: what was taken cannot finish without them.
@@ -166,7 +208,7 @@
             Ok(Ok(())) => {
                 // The seat stays taken: a connection that ends holds a descriptor like any other, and one
                 // that its client does not close would else go uncounted.
-                seat.idle(Some(s.clock.now()));
+                seat.is(State::Idle(s.clock.now()));
                 return tokio::select! {
                     () = wire.linger() => {}
                     () = seat.close.notified() => {}
@@ -177,11 +219,10 @@
     }
 }
 
-/// Waits between requests; false if the connection is over. One that we close is looked at once more: what
-/// has arrived by then is a request like any other.
-async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool) -> bool {
+/// Waits for the first byte of a request; false if the connection is over. One that we close is looked at once
+/// more: what has arrived by then is a request like any other.
+async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool, until: Instant) -> bool {
     let s = &seat.s;
-    seat.idle(Some(s.clock.now()));
     let ours = tokio::select! {
         filled = wire.fill() => {
             if !matches!(filled, Ok(n) if n > 0) {
@@ -191,9 +232,8 @@
         }
         () = seat.close.notified() => true,
         () = s.shutdown.close_idle.notified(), if !calls_back => true,
-        () = tokio::time::sleep(IDLE) => true,
+        () = tokio::time::sleep_until(until) => true,
     };
-    seat.idle(None);
     !ours || wire.poll_input() && wire.has_input()
 }
 
@@ -267,6 +307,13 @@
     if &*message.method != b"POST" {
         return Err(Reply::plain(405, "only POST is served here"));
     }
+    // The targets may believe the other one.
+    if ["X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key"]
+        .iter()
+        .any(|h| message.repeats(h))
+    {
+        return Err(Reply::plain(400, "repeated header"));
+    }
     let patience = match message.text("X-Time-Left").map(seconds) {
         Some(None) => return Err(Reply::plain(400, "malformed X-Time-Left")),
         Some(patience) => patience,
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -124,6 +124,11 @@
         &good.replace("Id: a1", "Id: a/1"),
         &good.replace("X-Correlation-Id: a1\r\n", ""),
         &good.replace("3.000", "soon"),
+        &good.replace("3.000", "NaN"),
+        &good.replace("3.000", "-1"),
+        &good.replace("X-Time-Left: 3.000", "X-Time-Left: 3.000\r\nX-Time-Left: 4.000"),
+        &good.replace("Length: 2", "Length: -2"),
+        &good.replace("Length: 2", "Length: 2\r\nContent-Length: 2"),
         "POST /v1/job-events HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
     ]
     .iter()
@@ -141,9 +146,14 @@
     HTTP/1.1 400 Bad Request | missing or bad id
     HTTP/1.1 400 Bad Request | missing or bad id
     HTTP/1.1 400 Bad Request | malformed X-Time-Left
+    HTTP/1.1 400 Bad Request | malformed X-Time-Left
+    HTTP/1.1 400 Bad Request | malformed X-Time-Left
+    HTTP/1.1 400 Bad Request | repeated header
+    HTTP/1.1 400 Bad Request | malformed request
+    HTTP/1.1 400 Bad Request | malformed request
     HTTP/1.1 400 Bad Request | malformed call-back
     ");
-    assert_snapshot!(stage.counters(&["flows", "forwards", "bad_400", "bad_404", "bad_405", "bad_413", "bad_431"]), @"flows=0 bad_400=7 bad_404=1 bad_405=2 bad_413=1 bad_431=1 forwards=0");
+    assert_snapshot!(stage.counters(&["flows", "forwards", "bad_400", "bad_404", "bad_405", "bad_413", "bad_431"]), @"flows=0 bad_400=12 bad_404=1 bad_405=2 bad_413=1 bad_431=1 forwards=0");
 }
 
 #[test]
@@ -301,3 +311,42 @@
     stage.signal("HUP");
     assert!(stage.ended());
 }
+
+#[test]
+fn connections_that_owe_a_request_make_room_and_end_in_time() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut idle = stage.connect();
+    idle.say("GET /healthz HTTP/1.1\r\n\r\n");
+    idle.answer();
+    let mut half = stage.connect();
+    half.say("POST /view/7f HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+    let mut said = vec![half.answer()];
+    // Whoever is idle between requests is not cut.
+    idle.say("GET /healthz HTTP/1.1\r\n\r\n");
+    said.push(idle.answer());
+    let mut silent: Vec<_> = (0..100).map(|_| stage.connect()).collect();
+    // More than there are seats: a client still gets its answer, and a target its call-back in.
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "5.000"));
+    let mut forward = target.accept();
+    forward.hear();
+    stage.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"yes"}"#);
+    said.push(client.answer());
+    assert!(silent.iter_mut().all(|line| line.closed()));
+    assert_snapshot!(said.join("\n"), @r"
+    HTTP/1.1 408 Request Timeout | request not whole in time
+    HTTP/1.1 200 OK | ready
+    HTTP/1.1 200 OK | yes
+    ");
+    assert_snapshot!(stage.counters(&["bad_408", "silent"]), @"bad_408=1 silent=100");
+}
+
+#[test]
+fn a_client_that_writes_a_large_body_before_it_reads_gets_the_error() {
+    let stage = Stage::new(&[], &Server::new("d"));
+    let mut client = stage.connect();
+    client.say("POST /view/7f HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n");
+    client.say(&"x".repeat(8_000_000));
+    assert_snapshot!(client.answer(), @"HTTP/1.1 413 Content Too Large | body too large");
+}
