Fail a request that a worker finds fault with at once, and mark no worker ill for it

A temporary log line named them: ids of requests that were over, or open at the other scheduler, which workers answer with 400. read_answer in src/net/send.rs called every such answer Error, so the module sent each to four workers, and counted a failure and a bad payoff against all four.

Now a 4xx (but 408 and 429) ends a forward as Rejected: the module learns nothing against the worker, and fails the request, as another worker would turn it away as well.

--- a/src/api.rs
+++ b/src/api.rs
@@ -310,12 +310,14 @@
     Cancelled,
     /// Not sent: it never ran.
     NotSent,
+    /// The worker finds fault with the request itself: it never ran, and no other worker would run it.
+    Rejected,
 }
 
 impl Outcome {
     /// Whether the outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent | Outcome::Rejected)
     }
 }
 
--- a/src/net/book.rs
+++ b/src/net/book.rs
@@ -112,7 +112,7 @@
 
 /// Statuses of plain answers to bad input.
 const BAD: [u16; 6] = [400, 404, 405, 408, 413, 431];
-const OUTCOMES: [Outcome; 8] = [
+const OUTCOMES: [Outcome; 9] = [
     Outcome::Served,
     Outcome::Error,
     Outcome::Full,
@@ -121,6 +121,7 @@
     Outcome::Reset,
     Outcome::Cancelled,
     Outcome::NotSent,
+    Outcome::Rejected,
 ];
 
 impl Counters {
--- a/src/net/send.rs
+++ b/src/net/send.rs
@@ -240,6 +240,8 @@
     match answer.status {
         202 => None,
         503 | 504 if unprocessed => Some((Outcome::Full, report)),
+        // Time and rate are the target's matter, all else of the 400s is the request's.
+        400..=499 if ![408, 429].contains(&answer.status) => Some((Outcome::Rejected, report)),
         _ => Some((Outcome::Error, report)),
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -846,6 +846,8 @@
                 self.nets[class].learn(w, ended.latency as f64);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
+            // A sign of life, and no word on how the worker does.
+            Outcome::Rejected => known.heard = self.now,
             Outcome::Full => {
                 let fulls = if self.set.reports == Reports::None { fulls } else { 0 };
                 job.not_before = self.now + (self.rng.0.f64() * self.mean_run / 8.0) as Nanos * fulls;
@@ -874,6 +876,10 @@
                 out.extend(copies.map(|(i, _)| Action::Cancel(id, i as u32)));
             }
             self.gone(id);
+        } else if ended.outcome == Outcome::Rejected {
+            // The request's own fault: further workers would only turn it away as well, and look ill for it.
+            out.push(Action::Fail(id));
+            self.gone(id);
         } else if job.out() == 0 && !self.held.contains(&id) {
             self.held.push(id);
         }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -350,3 +350,16 @@
     client.say(&"x".repeat(8_000_000));
     assert_snapshot!(client.answer(), @"HTTP/1.1 413 Content Too Large | body too large");
 }
+
+#[test]
+fn a_request_that_a_target_finds_fault_with_is_not_tried_at_the_next() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let stage = Stage::new(&[&one, &two], &discovery);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    let mut forward = stage::first(&[&one, &two]);
+    forward.hear();
+    forward.say(&response("400 Bad Request", "known id"));
+    assert_snapshot!(client.answer(), @"HTTP/1.1 502 Bad Gateway | failed");
+    assert_snapshot!(stage.counters(&["forwards", "Error", "Rejected"]), @"forwards=1 Error=0 Rejected=1");
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -83,6 +83,16 @@
     }
 }
 
+/// The first connection that comes to any of these servers.
+pub fn first(servers: &[&Server]) -> Line {
+    let (tell, came) = channel();
+    for server in servers {
+        let (tell, listener) = (tell.clone(), server.listener.try_clone().unwrap());
+        std::thread::spawn(move || listener.accept().map(|(stream, _)| tell.send(stream)));
+    }
+    Line::new(came.recv_timeout(LONG).unwrap())
+}
+
 /// A list in discovery's form.
 pub fn list(seq: u32, whole: bool, entries: &[String]) -> String {
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
