Count known load by its slots; late reports no longer hide free workers

Cause in src/rules.rs: report() took what a late, noisy report counted beyond our own mean for the load of others, even where there are no others, or where their every send is told by a peer; and peer() counted each such send as one slot, though jobs take one to four (Message::Took carried none).

What was told fades in 5 s, as a word may be lost.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Dispatcher`] is told what happens ([`Event`]) and answers with what to do ([`Action`]). It opens no
 //! socket, reads no clock and draws its random numbers from the seed it was given: the same events give the
-//! same actions. [`api`] holds the interface, [`rules`] every decision.
+//! same actions. [`api`] holds the interface, [`rules`] every decision, but for the networks
+//! that it learns by.
 //!
 //! ```
 //! use loomlb::*;
@@ -21,6 +22,7 @@
 pub mod boot;
 mod fading;
 mod message;
+mod network;
 pub mod rules;
 mod state;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,26 +1,18 @@
 //! Every decision of a dispatcher. The interface, that is settings, events and actions, is in `src/api.rs`.
 //!
-//! From top to bottom: the constants, the random neural network of a class ([`Network`]), and the
-//! [`Dispatcher`] that turns events into actions. What it remembers is in `src/state.rs`. Why a worker
-//! was picked is told by `Dispatcher::pick`: highest q over what stands in its way, among the workers
-//! that `usable` lets pass.
+//! From top to bottom: the constants, and the [`Dispatcher`] that turns events into actions. The random neural
+//! network of a class is in `src/network.rs`, what is remembered in `src/state.rs`. Why a worker was picked is
+//! told by `Dispatcher::pick`: highest q over what stands in its way, among the workers that `usable` lets pass.
 
 use crate::api::*;
 use crate::fading::{Fading, fade, toward};
 use crate::message::Message;
+pub use crate::network::Network;
 use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share};
 use rustc_hash::FxHashMap;
 
-/// Smoothing of the threshold T: how much of it stays at a payoff.
-const ALPHA: f64 = 0.95;
-/// What a payoff equal to T adds to a weight, as a part of the weight that a neuron starts with.
-const STEP: f64 = 0.2;
-/// A payoff counts for at most this many times T, and a punishment likewise.
-const RATIO_CAP: f64 = 4.0;
 /// Seconds over which a tenant's use is averaged and may run ahead of its share.
 const SHARE_SPAN: f64 = 5.0;
-/// Sweeps at most for a solution of q, each from the last solution.
-const SWEEPS: usize = 4;
 /// Share of requests sent to a random other worker.
 const EXPLORE: f64 = 0.1;
 /// A worker with jobs of ours is silent beyond this many mean running times without a word.
@@ -35,6 +27,8 @@
 const HOME_WAIT: f64 = 0.3;
 /// Jobs that may wait at a worker, as a part of its slots; others wait here, where they can still choose.
 const AHEAD: f64 = 0.2;
+/// What peers told of a worker is forgotten but for 1/e in this time: a word of theirs may have been lost.
+const LOST: f64 = 5e9;
 /// Part of a worker's slots that a request worth nothing leaves free.
 const RESERVE: f64 = 0.5;
 /// Standard deviations kept free below a cold worker's limit.
@@ -50,127 +44,6 @@
 const PROBES: usize = 3;
 const PROBE_PRICE: f64 = 0.005;
 
-/// The random neural network of one class, one neuron for each worker.
-/// Every j adds the same to w±(j,i), so they depend on i alone: two numbers a neuron hold the N×N
-/// network, and "every k≠i" is one offset shared by all.
-#[derive(Clone, Debug, Default)]
-pub struct Network {
-    neurons: Vec<Neuron>,
-    place: Vec<Option<u32>>,
-    plus_all: f64,
-    minus_all: f64,
-    threshold: Option<f64>,
-    stale: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Neuron {
-    worker: usize,
-    kind: KindId,
-    plus: f64,
-    minus: f64,
-    q: f64,
-}
-
-impl Network {
-    /// Adds a neuron. The first ones start at 1/(2(N−1)); later ones at the level of their kind (of all, if
-    /// it is the first): a joining worker neither leads nor trails its like.
-    pub fn join(&mut self, worker: usize, kind: KindId) {
-        if self.place.len() <= worker {
-            self.place.resize(worker + 1, None);
-        }
-        if self.place[worker].is_some() {
-            return;
-        }
-        let first = self.neurons.iter().all(|n| n.kind != kind);
-        let like = self.neurons.iter().filter(|n| first || n.kind == kind);
-        let sum = like.fold([0.0; 4], |s, n| [s[0] + n.plus, s[1] + n.minus, s[2] + n.q, s[3] + 1.0]);
-        let [plus, minus, q, _] = if sum[3] > 0.0 { sum.map(|s| s / sum[3]) } else { [0.5; 4] };
-        self.place[worker] = Some(self.neurons.len() as u32);
-        self.neurons.push(Neuron { worker, kind, plus, minus, q });
-        self.stale = true;
-    }
-
-    /// Takes a neuron out; the others keep what they learned.
-    pub fn leave(&mut self, worker: usize) {
-        if let Some(at) = self.place.get_mut(worker).and_then(Option::take) {
-            self.neurons.swap_remove(at as usize);
-            if let Some(moved) = self.neurons.get(at as usize) {
-                self.place[moved.worker] = Some(at);
-            }
-            self.stale = true;
-        }
-    }
-
-    /// Takes in the payoff R = 1/G of a job on `worker`. R counts in units of T, so that the step does
-    /// not depend on the unit of time. Below T the punishment is T/R rather than R: with R, a very long
-    /// G (a worker that fails at once) would hardly be punished.
-    pub fn learn(&mut self, worker: usize, goal: f64) {
-        let reward = 1.0 / goal.max(1.0);
-        let t = self.threshold.map_or(reward, |t| ALPHA * t + (1.0 - ALPHA) * reward);
-        self.threshold = Some(t);
-        let n = self.neurons.len();
-        let Some(Some(at)) = self.place.get(worker).copied() else { return };
-        if n < 2 || reward == t {
-            return;
-        }
-        let others = (n as f64 - 2.0).max(1.0);
-        let ratio = if reward > t { reward / t } else { t / reward };
-        let step = STEP * ratio.min(RATIO_CAP) / (2.0 * (n as f64 - 1.0));
-        let neuron = &mut self.neurons[at as usize];
-        if reward > t {
-            neuron.plus += step;
-            neuron.minus -= step / others;
-            self.minus_all += step / others;
-        } else {
-            neuron.minus += step;
-            neuron.plus -= step / others;
-            self.plus_all += step / others;
-        }
-        self.stale = true;
-    }
-
-    /// Solves for q from the last solution, in a bounded number of sweeps. Weights only grow by learning, and
-    /// with them the memory of old payoffs; they are scaled back so that the mean r stays 1, as at the start.
-    pub fn solve(&mut self) {
-        if !std::mem::take(&mut self.stale) || self.neurons.is_empty() {
-            return;
-        }
-        let n = self.neurons.len() as f64;
-        let mut total = n * (self.plus_all + self.minus_all);
-        total += self.neurons.iter().map(|x| x.plus + x.minus).sum::<f64>();
-        let scale = if n > 1.0 && total > 0.0 { n / (n - 1.0) / total } else { 1.0 };
-        let (plus_all, minus_all) = (self.plus_all, self.minus_all);
-        (self.plus_all, self.minus_all) = (0.0, 0.0);
-        let mut all = 0.0;
-        for x in &mut self.neurons {
-            x.plus = (x.plus + plus_all) * scale;
-            x.minus = (x.minus + minus_all) * scale;
-            all += x.q;
-        }
-        for _ in 0..SWEEPS {
-            let (mut next, mut moved) = (0.0, 0.0f64);
-            for x in &mut self.neurons {
-                let rest = all - x.q;
-                let rate = (total * scale - x.plus - x.minus).max(1e-9);
-                let q = ((0.25 + x.plus * rest) / (rate + x.minus * rest)).clamp(1e-6, 1.0);
-                moved = moved.max((q - x.q).abs());
-                x.q = q;
-                next += q;
-            }
-            all = next;
-            if moved < 1e-3 {
-                break;
-            }
-        }
-    }
-
-    /// The excitation probability of a worker's neuron, as of the last [`Network::solve`].
-    pub fn q(&self, worker: usize) -> Option<f64> {
-        self.place.get(worker).copied().flatten().map(|at| self.neurons[at as usize].q)
-    }
-}
-
 /// The decision module of one dispatcher.
 #[derive(Debug, Default)]
 pub struct Dispatcher {
@@ -367,7 +240,7 @@
     }
 
     fn peer(&mut self, from: PeerId, message: Message, out: &mut Vec<Action>) {
-        let (Message::Took(id) | Message::Left(id) | Message::Failed(id)) = message else {
+        let (Message::Took(id, n) | Message::Left(id, n) | Message::Failed(id, n)) = message else {
             let (Message::Hello(zone) | Message::Here(zone)) = message else { return };
             self.regroup |= self.peers.insert(from, zone).is_none();
             // One that starts later than the others has missed their words.
@@ -380,8 +253,10 @@
         let others = self.others(&self.workers[w]);
         let known = &mut self.workers[w];
         known.reported = self.now;
-        known.others = if message == Message::Took(id) { others + 1.0 } else { (others - 1.0).max(0.0) };
-        if message == Message::Failed(id) {
+        let slots = f64::from(n);
+        known.others =
+            if message == Message::Took(id, n) { others + slots } else { (others - slots).max(0.0) };
+        if message == Message::Failed(id, n) {
             known.failed(self.now, FORGET);
         }
     }
@@ -518,7 +393,7 @@
             (known.cold_credit, known.cold_at, known.cold_phase) = (credit - charge, self.now, 0.0);
         }
         out.push(Action::Send { id, worker, timeout });
-        self.tell(Message::Took(worker), out);
+        self.tell(Message::Took(worker, slots as u8), out);
         true
     }
 
@@ -706,10 +581,19 @@
         self.waits.get_mut(zone.0).into_iter().for_each(|w| w.set(self.now, mean));
     }
 
+    /// Whether all that is sent to the workers is sent here or told by peers: reports, late and noisy, then have
+    /// nothing to add on what is held there.
+    fn all_told(&self) -> bool {
+        self.set.reports != Reports::Probes && self.group.len() + 1 >= self.set.dispatchers as usize
+    }
+
     /// What others hold on a worker, by reports or peers. News age: what others hold turns over in a
     /// job's time, and a worker that looks full and is left alone would send no further report. So it
     /// goes to the mean of all, short of full.
     fn others(&self, known: &Known) -> f64 {
+        if self.all_told() {
+            return known.others * fade(self.now.saturating_sub(known.reported), LOST);
+        }
         let slots = self.slots(known).unwrap_or(0.0) * self.warmth(&known.entry, self.now);
         let mean = self.others_part.min(0.8) * slots;
         if known.others == mean {
@@ -794,6 +678,7 @@
     }
 
     fn report(&mut self, w: usize, report: &Report) {
+        let told = self.all_told();
         let known = &mut self.workers[w];
         let finite = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
         let held = finite(report.in_flight);
@@ -811,7 +696,7 @@
         let held = held
             .map(|h| h * self.mean_need.max(1.0))
             .or_else(|| Some((known.slots? - free?).max(0.0) + queue));
-        if let Some(held) = held {
+        if let Some(held) = held.filter(|_| !told) {
             let fresh = self.set.reports == Reports::Probes;
             let others = (held - if fresh { known.own } else { known.own_mean }).max(0.0);
             known.others += (others - known.others) * if fresh || known.reported == 0 { 1.0 } else { 0.4 };
@@ -827,11 +712,11 @@
         a.outcome = Some(ended.outcome);
         let (w, started, sent, zone) = (a.worker, a.started, a.sent, a.zone);
         let fulls = job.attempts.iter().filter(|a| a.outcome == Some(Outcome::Full)).count() as Nanos;
-        let class = job.request.class.0;
+        let (class, slots) = (job.request.class.0, job.request.slots);
         let known = &mut self.workers[w];
         known.age(self.now, self.mean_run);
         known.attempts = known.attempts.saturating_sub(1);
-        known.own = (known.own - job.request.slots).max(0.0);
+        known.own = (known.own - slots).max(0.0);
         job.answered |= ended.closed;
         let learned = &mut self.learned[class];
         match ended.outcome {
@@ -884,8 +769,8 @@
             self.held.push(id);
         }
         let failed = matches!(ended.outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset);
-        let id = self.workers[w].entry.id;
-        self.tell(if failed { Message::Failed(id) } else { Message::Left(id) }, out);
+        let (id, slots) = (self.workers[w].entry.id, slots as u8);
+        self.tell(if failed { Message::Failed(id, slots) } else { Message::Left(id, slots) }, out);
         self.let_go(w);
         self.serve_held(out);
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -616,3 +616,35 @@
     }
     assert!(refused[0] == 0 && refused[1] > 20, "{refused:?}");
 }
+
+#[test]
+fn load_that_peers_tell_counts_by_its_slots_and_late_reports_add_nothing() {
+    let mut set = settings(Effect::Safe);
+    (set.reports, set.free_slots_reported) = (Reports::Answers, true);
+    (set.dispatchers, set.limits.peers) = (2, true);
+    let mut to_reported = 0;
+    for seed in 0..40 {
+        let mut stage = Stage { dispatcher: Dispatcher::new(set.clone(), seed), now: S, next: 0 };
+        stage.list(ListKind::Complete, &workers(2));
+        stage.event(Event::Peer(PeerId(1), Message::Here(ZoneId(0)).bytes()));
+        let reported = |held: f64| {
+            Some(Report { in_flight: Some(held), free_slots: Some(4.0 - held), ..Report::default() })
+        };
+        let mut last = WorkerId(0);
+        for held in [0.0, 0.0, 3.0] {
+            let (id, actions) = stage.request(4 * S);
+            last = sent(&actions)[0];
+            let ended =
+                Ended { outcome: Outcome::Served, latency: 100 * MS, closed: true, report: reported(held) };
+            stage.event(Event::Ended { id, attempt: 0, ended });
+        }
+        // Nothing is out there: what the last report counted is over.
+        let (id, actions) = stage.request(4 * S);
+        to_reported += u32::from(sent(&actions)[0] == last);
+        stage.ends(id, 0, Outcome::Served);
+        stage.event(Event::Peer(PeerId(1), Message::Took(last, 4).bytes()));
+        assert_ne!(sent(&stage.request(4 * S).1)[0], last);
+        stage.event(Event::Peer(PeerId(1), Message::Left(last, 4).bytes()));
+    }
+    assert!((10..=30).contains(&to_reported), "{to_reported} of 40");
+}
