Let jobs wait here for a free slot, and shun a failing worker harder and longer

In src/rules.rs a worker was filled to 1.2 of its slots (AHEAD), where a job queues behind others of unknown length; a wait there weighed little against q; and a served job halved the failures counted, so that a worker failing 6 of 10 stayed near one failure, its weight 4, while idle.

Now a job waits here until a worker has a slot, a wait for more slots weighs four times, load half, failures weigh squared, and a served job leaves 0.7 of them.

Both tests fail before the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,8 +25,11 @@
 const CROSS: f64 = 8.0;
 /// Part of its slack that a job waits for the workers that its key belongs to, while these widen to all.
 const HOME_WAIT: f64 = 0.3;
-/// Jobs that may wait at a worker, as a part of its slots; others wait here, where they can still choose.
-const AHEAD: f64 = 0.2;
+/// What a wait for slots at a worker weighs, in mean running times: late is worth nothing, so any worker that has
+/// the slots free comes first. Jobs that find no slot at all wait here, where they can still choose.
+const WAIT: f64 = 4.0;
+/// What a job served leaves of the failures before it. One that fails most jobs serves some all the same.
+const FORGIVE: f64 = 0.7;
 /// What peers told of a worker is forgotten but for 1/e in this time: a word of theirs may have been lost. Jobs
 /// can run for many seconds, and a worker they hold would look free if it were forgotten sooner.
 const LOST: f64 = 60e9;
@@ -499,7 +502,7 @@
         let run = self.learned[c].run;
         let cross = CROSS * self.set.prices.cross_zone * self.mean_worth / self.worth(c).max(1e-9);
         // A request of little worth leaves room to those of more: it may fill only a part of the slots.
-        let room = 1.0 + AHEAD - RESERVE * (1.0 - self.value(job) / self.mean_value.max(1e-9)).max(0.0);
+        let room = 1.0 - RESERVE * (1.0 - self.value(job) / self.mean_value.max(1e-9)).max(0.0);
         let reach = self.reach(job);
         let wait = |z| (self.zone_wait(z) - self.mean_run).max(0.0) / run;
         let waits: Vec<f64> = (0..self.set.zones).map(wait).collect();
@@ -531,7 +534,8 @@
             if far {
                 in_way += cross;
             }
-            let score = n.q / ((1.0 + in_way) * (1.0 + 3.0 * failures));
+            // Squared: one failure may be chance, while a row of them outweighs any load at the others.
+            let score = n.q / ((1.0 + in_way) * (1.0 + 3.0 * failures * failures));
             if score > best {
                 (best, at, ties) = (score, Some(w), 1.0);
             } else if score == best {
@@ -576,7 +580,7 @@
         if load + first > room * slots && load > 0.0 {
             return None;
         }
-        Some(load / slots + over / slots * (self.mean_run / run).max(1.0))
+        Some(load / slots * 0.5 + WAIT * over / slots * (self.mean_run / run).max(1.0))
     }
 
     fn zone_wait(&self, zone: usize) -> f64 {
@@ -734,7 +738,7 @@
                 let part = if std::mem::replace(&mut learned.seen, true) { 0.03 } else { 1.0 };
                 learned.run += (run - learned.run) * part;
                 toward(&mut self.mean_run, run, 0.02);
-                known.failures.set(self.now, known.failures.get(self.now, FORGET) * 0.5);
+                known.failures.set(self.now, known.failures.get(self.now, FORGET) * FORGIVE);
                 self.nets[class].learn(w, ended.latency as f64);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -654,3 +654,30 @@
     }
     assert!((10..=30).contains(&to_reported), "{to_reported} of 40");
 }
+
+#[test]
+fn a_job_waits_here_rather_than_at_a_worker_that_is_full() {
+    let set = Settings { reports: Reports::Answers, free_slots_reported: true, ..settings(Effect::Safe) };
+    let mut stage = Stage::new(set, &workers(1));
+    let free = Report { in_flight: Some(0.0), free_slots: Some(5.0), ..Report::default() };
+    let (id, _) = stage.request(4 * S);
+    let served = Ended { outcome: Outcome::Served, latency: 100 * MS, closed: true, report: Some(free) };
+    stage.event(Event::Ended { id, attempt: 0, ended: served });
+    let out: Vec<_> = (0..5).map(|_| stage.request(4 * S)).collect();
+    assert!(out.iter().all(|(_, actions)| sent(actions).len() == 1));
+    assert!(sent(&stage.request(4 * S).1).is_empty());
+    assert_eq!(sent(&stage.ends(out[0].0, 0, Outcome::Served)).len(), 1);
+}
+
+#[test]
+fn a_worker_that_fails_most_jobs_is_not_forgiven_for_the_odd_one_it_serves() {
+    let mut stage = Stage::new(settings(Effect::Unsafe), &workers(1));
+    for i in 0..6 {
+        let (id, _) = stage.request(4 * S);
+        stage.ends(id, 0, if i < 4 { Outcome::Error } else { Outcome::Served });
+    }
+    stage.list(ListKind::Complete, &workers(2));
+    for _ in 0..8 {
+        assert_eq!(sent(&stage.request(4 * S).1), [WorkerId(2)]);
+    }
+}
