Keep idle connections for shorter where one broke after a pause

Something on the way drops them unannounced; Pool::keep in src/net/send.rs trusted the settings alone, so jobs that must not run twice failed and their workers counted as ill.

Now a break at the first use after a pause, before any byte of an answer, has the pool keep connections to that target for half of that pause, for a minute.

Checked: the story waits in vain for a new connection without the change. Ruled out: call-backs of jobs on broken connections (none came, they had not run).

--- a/src/net/send.rs
+++ b/src/net/send.rs
@@ -15,6 +15,8 @@
 
 /// Small calls (a give-up, a probe) are answered in this time or count as lost.
 const CALL: Duration = Duration::from_secs(1);
+/// After this time connections of a target are trusted for as long as the settings say again.
+const RELEARN: Nanos = 60_000_000_000;
 /// Time between two looks through the idle connections.
 const SWEEP: Nanos = 250_000_000;
 
@@ -23,6 +25,8 @@
 struct Link {
     wire: Wire,
     open: Rc<Cell<usize>>,
+    /// How long it was idle before this use; 0 for a new one.
+    idle: Nanos,
 }
 
 impl Drop for Link {
@@ -46,12 +50,28 @@
     /// Idle connections live this long: well below the time after which a target closes them, since a
     /// request that crosses such an end counts as one that may have run.
     keep: Nanos,
+    /// The same for targets whose connections have proved to end sooner than they ought to, and when they did.
+    shorter: RefCell<HashMap<WorkerId, (Nanos, Nanos)>>,
 }
 
 impl Pool {
     /// An empty pool of so many connections at most, for targets that close idle ones after `keepalive`.
     pub fn new(limit: usize, keepalive: Nanos) -> Self {
-        Pool { idle: RefCell::default(), open: Rc::default(), limit, keep: keepalive / 4 * 3 }
+        let (idle, open, shorter) = (RefCell::default(), Rc::default(), RefCell::default());
+        Pool { idle, open, limit, keep: keepalive / 4 * 3, shorter }
+    }
+
+    /// A connection to the target broke at its next use: something on the way had dropped it while it was idle,
+    /// and would drop others like it. The next ones are kept for half of that time.
+    fn broke(&self, target: WorkerId, idle: Nanos, now: Nanos) {
+        let keep = self.keep(target, now).min(idle / 2);
+        self.shorter.borrow_mut().insert(target, (keep, now));
+    }
+
+    /// How long idle connections to a target live. What was learned is tried anew after a while.
+    fn keep(&self, target: WorkerId, now: Nanos) -> Nanos {
+        let learned = self.shorter.borrow().get(&target).filter(|l| now < l.1 + RELEARN).map(|l| l.0);
+        learned.unwrap_or(self.keep)
     }
 
     /// Closes the idle connections to a target.
@@ -61,19 +81,22 @@
 
     /// Closes what has been idle for too long.
     fn sweep(&self, now: Nanos) {
-        self.idle.borrow_mut().retain(|_, links| {
-            links.retain(|i| now < i.since + self.keep);
+        self.idle.borrow_mut().retain(|target, links| {
+            let keep = self.keep(*target, now);
+            links.retain(|i| now < i.since + keep);
             !links.is_empty()
         });
     }
 
     /// The connection used last, if it still lives.
     fn take(&self, target: WorkerId, now: Nanos) -> Option<Link> {
+        let keep = self.keep(target, now);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&target)?;
         while let Some(mut last) = links.pop() {
-            let fresh = now < last.since + self.keep;
+            let fresh = now < last.since + keep;
             if fresh && last.link.wire.poll_input() && !last.link.wire.has_input() {
+                last.link.idle = now.saturating_sub(last.since).max(1);
                 return Some(last.link);
             }
         }
@@ -110,7 +133,7 @@
     let open = Rc::clone(&s.pool.open);
     let limit = Duration::from_nanos(s.config.terms.dial_timeout);
     match tokio::time::timeout(limit, TcpStream::connect(target.dial)).await {
-        Ok(Ok(stream)) => Some(Link { wire: Wire::new(stream), open }),
+        Ok(Ok(stream)) => Some(Link { wire: Wire::new(stream), open, idle: 0 }),
         _ => {
             open.set(open.get() - 1);
             None
@@ -198,7 +221,13 @@
                 }
             }
             // The last byte is written, so it may have run.
-            Ok(Err(_)) | Err(_) => (Outcome::Reset, None),
+            Ok(Err(fault)) => {
+                if link.idle > 0 && matches!(fault, Fault::Closed) {
+                    s.pool.broke(self.to, link.idle, s.clock.now());
+                }
+                (Outcome::Reset, None)
+            }
+            Err(_) => (Outcome::Reset, None),
         };
         relay::ended(s, self.id, self.n, outcome, report);
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -363,3 +363,41 @@
     assert_snapshot!(client.answer(), @"HTTP/1.1 502 Bad Gateway | failed");
     assert_snapshot!(stage.counters(&["forwards", "Error", "Rejected"]), @"forwards=1 Error=0 Rejected=1");
 }
+
+#[test]
+fn connections_that_break_after_a_pause_are_not_kept_for_so_long_again() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut client = stage.connect();
+    let serve = |forward: &mut stage::Line, id: &str| {
+        forward.hear();
+        forward.say(&response("202 Accepted", ""));
+        stage.call_back(&format!(r#"{{"id":"{id}","from":"s-00000001","state":"done","result":"yes"}}"#));
+    };
+    client.say(&job("lodge", "a1", "3.000"));
+    let mut forward = target.accept();
+    let begun = std::time::Instant::now();
+    serve(&mut forward, "a1");
+    let mut said = vec![client.answer()];
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    client.say(&job("lodge", "a2", "3.000"));
+    forward.hear();
+    let pause = begun.elapsed();
+    drop(forward);
+    said.push(client.answer());
+    client.say(&job("lodge", "a3", "3.000"));
+    let mut forward = target.accept();
+    serve(&mut forward, "a3");
+    said.push(client.answer());
+    std::thread::sleep(pause);
+    client.say(&job("lodge", "a4", "3.000"));
+    serve(&mut target.accept(), "a4");
+    said.push(client.answer());
+    assert_snapshot!(said.join("\n"), @r"
+    HTTP/1.1 200 OK | yes
+    HTTP/1.1 502 Bad Gateway | failed
+    HTTP/1.1 200 OK | yes
+    HTTP/1.1 200 OK | yes
+    ");
+    assert_snapshot!(stage.counters(&["dials", "reused", "Reset"]), @"Reset=1 dials=3 reused=1");
+}
