Peers tell all that they hold at a worker, so that a lost word is made good

Now a word carries all that its sender holds at a worker, and a turn, as datagrams overtake each other; the next word on that worker heals a lost one, and Hello ends what its sender told before, to the slot. Words of the last version are not read: during a roll-out peers count reports until all have changed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,5 +27,5 @@
 mod state;
 
 pub use api::*;
-pub use message::Message;
+pub use message::{Holds, Message};
 pub use rules::Dispatcher;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,9 +6,9 @@
 
 use crate::api::*;
 use crate::fading::{Fading, fade, toward};
-use crate::message::Message;
+use crate::message::{Holds, Message};
 pub use crate::network::Network;
-use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share};
+use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share, Told};
 use rustc_hash::FxHashMap;
 
 /// Seconds over which a tenant's use is averaged and may run ahead of its share.
@@ -33,6 +33,8 @@
 /// What peers told of a worker is forgotten but for 1/e in this time: a word of theirs may have been lost. Jobs
 /// can run for many seconds, and a worker they hold would look free if it were forgotten sooner.
 const LOST: f64 = 60e9;
+/// A peer's word that is overtaken by a later one comes within this time of it.
+const LATE: Nanos = 10_000_000_000;
 /// Part of a worker's slots that a request worth nothing leaves free.
 const RESERVE: f64 = 0.5;
 /// Standard deviations kept free below a cold worker's limit.
@@ -66,6 +68,8 @@
     peers: std::collections::BTreeMap<PeerId, ZoneId>,
     group: Vec<PeerId>,
     regroup: bool,
+    /// Words told to the group so far.
+    turn: u16,
     born: Nanos,
     share: Vec<Share>,
     listed_once: bool,
@@ -182,6 +186,7 @@
             let phase = self.rng.0.f64();
             let known = &mut self.workers[w];
             (known.others, known.failures, known.full_until) = (0.0, Fading::default(), 0);
+            known.told.clear();
             (known.cold_credit, known.cold_at, known.cold_phase) = (0.0, self.now, phase);
         }
         let kind = entry.kind;
@@ -239,36 +244,46 @@
         order.iter().enumerate().for_each(|(i, &w)| self.workers[w].near = i % groups == mine);
     }
 
-    fn tell(&self, message: Message, out: &mut Vec<Action>) {
-        out.extend(self.group.iter().map(|&p| Action::Tell(Receiver::One(p), message.bytes())));
+    /// Tells the group what is held at a worker.
+    fn tell(&mut self, w: usize, failed: bool, out: &mut Vec<Action>) {
+        self.turn = self.turn.wrapping_add(1);
+        let known = &self.workers[w];
+        let holds = Holds { worker: known.entry.id, slots: known.own as u8, turn: self.turn, failed };
+        let bytes = Message::Holds(holds).bytes();
+        out.extend(self.group.iter().map(|&p| Action::Tell(Receiver::One(p), bytes.clone())));
     }
 
     fn peer(&mut self, from: PeerId, message: Message, out: &mut Vec<Action>) {
-        let (Message::Took(id, n) | Message::Left(id, n) | Message::Failed(id, n)) = message else {
-            let (Message::Hello(zone) | Message::Here(zone)) = message else { return };
-            let known = self.peers.insert(from, zone).is_some();
-            self.regroup |= !known;
-            if known && message == Message::Hello(zone) {
-                // It has started anew and its jobs are over, without a word on them: an equal part of what is told.
-                let rest = 1.0 - 1.0 / self.group.len().max(1) as f64;
-                self.workers.iter_mut().for_each(|k| k.others *= rest);
-            }
+        let zone = match message {
+            Message::Holds(holds) => return self.told(from, holds),
+            Message::Hello(zone) | Message::Here(zone) => zone,
+        };
+        self.regroup |= self.peers.insert(from, zone).is_none();
+        if message == Message::Hello(zone) {
+            // It has started, and whatever it held before is over without a word.
+            self.workers.iter_mut().for_each(|k| k.told.retain(|t| t.peer != from));
             // One that starts later than the others has missed their words.
-            if message == Message::Hello(zone) && self.now > self.born + 100_000_000 {
+            if self.now > self.born + 100_000_000 {
                 out.push(Action::Tell(Receiver::One(from), Message::Here(self.set.zone).bytes()));
             }
-            return;
-        };
-        let Some(&w) = self.index.get(&id) else { return };
-        let others = self.others(&self.workers[w]);
+        }
+    }
+
+    fn told(&mut self, peer: PeerId, holds: Holds) {
+        let Some(&w) = self.index.get(&holds.worker) else { return };
         let known = &mut self.workers[w];
-        known.reported = self.now;
-        let slots = f64::from(n);
-        known.others =
-            if message == Message::Took(id, n) { others + slots } else { (others - slots).max(0.0) };
-        if message == Message::Failed(id, n) {
+        if holds.failed {
             known.failed(self.now, FORGET);
         }
+        let mut slots = Fading::default();
+        slots.set(self.now, holds.slots.into());
+        let word = Told { peer, turn: holds.turn, slots, at: self.now };
+        match known.told.iter_mut().find(|t| t.peer == peer) {
+            // Words may overtake each other, but not by so long that their turns could have come round.
+            Some(last) if holds.turn.wrapping_sub(last.turn) > u16::MAX / 2 && self.now < last.at + LATE => {}
+            Some(last) => *last = word,
+            None => known.told.push(word),
+        }
     }
 
     fn list_failed(&mut self, out: &mut Vec<Action>) {
@@ -403,7 +418,7 @@
             (known.cold_credit, known.cold_at, known.cold_phase) = (credit - charge, self.now, 0.0);
         }
         out.push(Action::Send { id, worker, timeout });
-        self.tell(Message::Took(worker, slots as u8), out);
+        self.tell(w, false, out);
         true
     }
 
@@ -602,17 +617,19 @@
     /// job's time, and a worker that looks full and is left alone would send no further report. So it
     /// goes to the mean of all, short of full.
     fn others(&self, known: &Known) -> f64 {
+        let told: f64 = known.told.iter().map(|t| t.slots.get(self.now, LOST)).sum();
         if self.all_told() {
-            return known.others * fade(self.now.saturating_sub(known.reported), LOST);
+            return told;
         }
         let slots = self.slots(known).unwrap_or(0.0) * self.warmth(&known.entry, self.now);
         let mean = self.others_part.min(0.8) * slots;
         if known.others == mean {
-            return mean;
+            return mean.max(told);
         }
         let run =
             if self.mean_run > 0.0 { self.mean_run } else { self.learned.first().map_or(0.0, |l| l.run) };
-        mean + (known.others - mean) * fade(self.now.saturating_sub(known.reported), 4.0 * run)
+        let seen = mean + (known.others - mean) * fade(self.now.saturating_sub(known.reported), 4.0 * run);
+        seen.max(told)
     }
 
     fn slots(&self, known: &Known) -> Option<f64> {
@@ -780,8 +797,7 @@
             self.held.push(id);
         }
         let failed = matches!(ended.outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset);
-        let (id, slots) = (self.workers[w].entry.id, slots as u8);
-        self.tell(if failed { Message::Failed(id, slots) } else { Message::Left(id, slots) }, out);
+        self.tell(w, failed, out);
         self.let_go(w);
         self.serve_held(out);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,8 @@
     /// What others held there by the reports, and when the last one came.
     pub(crate) others: f64,
     pub(crate) reported: Nanos,
+    /// What each peer of the group told that it holds there.
+    pub(crate) told: Vec<Told>,
     /// Slots, once reports or notes have shown them.
     pub(crate) slots: Option<f64>,
     pub(crate) failures: Fading,
@@ -51,6 +53,15 @@
     }
 }
 
+/// A peer's word on what it holds at a worker.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) peer: PeerId,
+    pub(crate) turn: u16,
+    pub(crate) slots: Fading,
+    pub(crate) at: Nanos,
+}
+
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) worker: usize,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -642,7 +642,12 @@
         let (id, actions) = stage.request(4 * S);
         to_reported += u32::from(sent(&actions)[0] == last);
         stage.ends(id, 0, Outcome::Served);
-        stage.event(Event::Peer(PeerId(1), Message::Took(last, 4).bytes()));
+        let holds = Holds { worker: last, slots: 4, turn: 7, failed: false };
+        stage.event(Event::Peer(PeerId(1), Message::Holds(holds).bytes()));
+        // The same word once more, and an earlier one that comes later.
+        stage.event(Event::Peer(PeerId(1), Message::Holds(holds).bytes()));
+        let earlier = Holds { slots: 0, turn: 6, ..holds };
+        stage.event(Event::Peer(PeerId(1), Message::Holds(earlier).bytes()));
         // A job may hold its slots for long, and its scheduler may end with it.
         stage.now += 2 * S;
         let (id, actions) = stage.request(4 * S);
