Let idle connections that never brought work make room before those that have

Listener::evict in src/net/intake.rs took the one idle for longest, whoever it was; after SIGTERM, too, clients that are to keep their connections had lost them by then.

Now an idle connection that has brought a flow or a call-back goes last.

Checked: the story fails before.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 struct Occupied {
     state: State,
+    /// It has brought a flow or a call-back.
+    useful: bool,
     /// How to ask it to close.
     close: Rc<Notify>,
 }
@@ -70,16 +72,17 @@
         self.seats.borrow().values().filter(|s| matches!(s.state, State::Partial(_) | State::Served)).count()
     }
 
-    /// Asks one connection to close: the one that has owed a request for longest, else the one idle for longest,
-    /// which at worst crosses a request that its client sends again; only then one that has just come. Call-backs
-    /// need a seat too, and would else wait behind connections that say nothing or half of something.
+    /// Asks one connection to close: the one that has owed a request for longest, or has been idle for longest and
+    /// never brought work; then an idle one that has, as its client may be about to use it again; only then one that
+    /// has just come. Call-backs need a seat too, and would else wait behind connections that say nothing, half of
+    /// something, or nothing more.
     fn evict(&self, now: Nanos) {
         let seats = self.seats.borrow();
         let rank = |seat: &&Occupied| match seat.state {
             State::Silent(since) | State::Partial(since) => {
                 Some((if now >= since + PROBATION { 0 } else { 2 }, since))
             }
-            State::Idle(since) => Some((1, since)),
+            State::Idle(since) => Some((u8::from(seat.useful), since)),
             State::Served => None,
         };
         if let Some(seat) = seats.values().filter(|s| rank(s).is_some()).min_by_key(rank) {
@@ -99,11 +102,18 @@
     fn new(s: &Rc<Scheduler>) -> Self {
         let number = s.listener.next.replace(s.listener.next.get() + 1);
         let close = Rc::new(Notify::new());
-        let occupied = Occupied { state: State::Silent(s.clock.now()), close: Rc::clone(&close) };
+        let state = State::Silent(s.clock.now());
+        let occupied = Occupied { state, useful: false, close: Rc::clone(&close) };
         s.listener.seats.borrow_mut().insert(number, occupied);
         Seat { s: Rc::clone(s), number, close }
     }
 
+    fn useful(&self) {
+        if let Some(seat) = self.s.listener.seats.borrow_mut().get_mut(&self.number) {
+            seat.useful = true;
+        }
+    }
+
     fn is(&self, state: State) {
         if let Some(seat) = self.s.listener.seats.borrow_mut().get_mut(&self.number) {
             seat.state = state;
@@ -188,7 +198,7 @@
                 seat.is(State::Served);
                 let path = message.path.split(|b| *b == b'?').next().unwrap_or_default();
                 calls_back = path == CALL_BACKS.as_bytes();
-                let Some(reply) = handle(&s, &mut wire, &message).await else { return };
+                let Some(reply) = handle(&seat, &mut wire, &message).await else { return };
                 (reply, message.keep_alive)
             }
             Some(Err(Fault::Closed | Fault::Broken)) => return,
@@ -238,7 +248,8 @@
 }
 
 /// The reply to a request; none if its client has gone.
-async fn handle(s: &Rc<Scheduler>, wire: &mut Wire, message: &Message) -> Option<Reply> {
+async fn handle(seat: &Seat, wire: &mut Wire, message: &Message) -> Option<Reply> {
+    let s = &seat.s;
     let Ok(path) = std::str::from_utf8(&message.path) else {
         return Some(Reply::plain(400, "malformed path"));
     };
@@ -250,7 +261,10 @@
         HEALTH if s.shutdown.begun() => return Some(Reply::plain(503, "ending")),
         HEALTH => return Some(Reply::plain(200, "ready")),
         CALL_BACKS if method != b"POST" => return Some(Reply::plain(405, "only POST is served here")),
-        CALL_BACKS if relay::call_back(s, &message.body) => return Some(Reply::plain(200, "noted")),
+        CALL_BACKS if relay::call_back(s, &message.body) => {
+            seat.useful();
+            return Some(Reply::plain(200, "noted"));
+        }
         CALL_BACKS => return Some(Reply::plain(400, "malformed call-back")),
         _ => {}
     }
@@ -265,6 +279,7 @@
             return Some(Reply { retry_after: wait, ..Reply::plain(503, "no room") });
         }
     };
+    seat.useful();
     let answer = loop {
         tokio::select! {
             answer = &mut taken.answer => break answer.unwrap_or(Answer::Failed),
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -401,3 +401,29 @@
     ");
     assert_snapshot!(stage.counters(&["dials", "reused", "Reset"]), @"Reset=1 dials=3 reused=1");
 }
+
+#[test]
+fn a_client_that_brings_jobs_keeps_its_connection_when_others_crowd_in() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    let mut forward = target.accept();
+    let mut crowd = Vec::new();
+    for id in ["a1", "a2"] {
+        forward.hear();
+        forward.say(&response("202 Accepted", ""));
+        stage.call_back(&format!(r#"{{"id":"{id}","from":"s-00000001","state":"done","result":"{id}"}}"#));
+        assert!(client.answer().ends_with(id));
+        // More than there are seats ask one thing and stay.
+        for _ in 0..50 {
+            let mut line = stage.connect();
+            line.say("GET /healthz HTTP/1.1\r\n\r\n");
+            assert!(line.answer().ends_with("ready"));
+            crowd.push(line);
+        }
+        if id == "a1" {
+            client.say(&job("view", "a2", "3.000"));
+        }
+    }
+}
