Cancel what is out for a client that has gone, and keep the sign a silent worker gave

Event::Gone in src/rules.rs only forgot the request: its jobs ran on, and held their slots, for nobody.

Now their attempts are cancelled.

Checked: both tests fail before. Ruled out: lists that came late (none missed in the log).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,7 +107,11 @@
             Event::Workers { kind, entries } => self.workers_news(kind, entries, out),
             Event::ListFailed => self.list_failed(out),
             Event::Request(request) => self.request(request, out),
-            Event::Gone(id) => self.gone(id),
+            Event::Gone(id) => {
+                // Nobody waits for it any more: its slots are for others.
+                self.cancel(id, out);
+                self.gone(id);
+            }
             Event::Note(id, attempt, note) => self.note(id, attempt, note),
             Event::Opened(id, _) => self.gone(id),
             Event::Ended { id, attempt, ended } => self.outcome(id, attempt, ended, out),
@@ -444,6 +448,13 @@
         (wait as Nanos).max(self.set.tick).min(most)
     }
 
+    /// Stops what is out for a request, where attempts can be cancelled.
+    fn cancel(&self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|_| self.set.limits.cancel) else { return };
+        let copies = job.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
+        out.extend(copies.map(|(i, _)| Action::Cancel(id, i as u32)));
+    }
+
     /// Nothing more is owed to a request; it is forgotten once none of its attempts is out.
     fn gone(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -743,6 +754,7 @@
         let (class, slots) = (job.request.class.0, job.request.slots);
         let known = &mut self.workers[w];
         known.age(self.now, self.mean_run);
+        let silent = known.silent(self.now) > SILENCE * self.mean_run;
         known.attempts = known.attempts.saturating_sub(1);
         known.own = (known.own - slots).max(0.0);
         job.answered |= ended.closed;
@@ -758,6 +770,8 @@
                 known.failures.set(self.now, known.failures.get(self.now, FORGET) * FORGIVE);
                 self.nets[class].learn(w, ended.latency as f64);
             }
+            // What has been out there in vain is the only sign that a silent worker gives.
+            Outcome::Cancelled if silent => known.failed(self.now, FORGET),
             Outcome::Cancelled | Outcome::NotSent => {}
             // A sign of life, and no word on how the worker does.
             Outcome::Rejected => known.heard = self.now,
@@ -784,10 +798,7 @@
         }
         let job = &self.jobs[&id];
         if job.answered {
-            if self.set.limits.cancel {
-                let copies = job.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
-                out.extend(copies.map(|(i, _)| Action::Cancel(id, i as u32)));
-            }
+            self.cancel(id, out);
             self.gone(id);
         } else if ended.outcome == Outcome::Rejected {
             // The request's own fault: further workers would only turn it away as well, and look ill for it.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -141,11 +141,33 @@
 fn nothing_goes_out_for_a_request_whose_client_has_gone() {
     let mut stage = Stage::new(settings(Effect::Safe), &workers(3));
     let (id, _) = stage.request(3 * S);
-    stage.event(Event::Gone(id));
+    assert_eq!(stage.event(Event::Gone(id)), [Action::Cancel(id, 0)]);
     let actions = stage.ends(id, 0, Outcome::Full);
     assert!(sent(&actions).is_empty() && answers(&actions).is_empty());
 }
 
+#[test]
+fn a_silent_worker_is_not_forgotten_with_the_clients_that_waited_for_it() {
+    let mut stage = Stage::new(settings(Effect::Safe), &workers(2));
+    let silent = WorkerId(1);
+    for _ in 0..40 {
+        stage.now += 100 * MS;
+        let (id, actions) = stage.request(4 * S);
+        if sent(&actions) != [silent] {
+            stage.ends(id, 0, Outcome::Served);
+            continue;
+        }
+        stage.now += S;
+        stage.event(Event::Gone(id));
+        stage.ends(id, 0, Outcome::Cancelled);
+        // Half of them would go there else.
+        let next: Vec<_> = (0..4).map(|_| stage.request(4 * S)).collect();
+        assert!(next.iter().all(|(_, actions)| sent(actions) != [silent]));
+        return;
+    }
+    panic!("no job went to it");
+}
+
 #[test]
 fn spent_attempts_end_in_one_answer() {
     let mut stage = Stage::new(settings(Effect::Safe), &workers(9));
