--- a/src/message.rs
+++ b/src/message.rs
@@ -13,8 +13,8 @@
     Holds(Holds),
 }
 
-/// What a dispatcher holds at a worker. It is all of it rather than the change: a word may be lost or overtaken by
-/// the next one, and what is added up of changes would never be right again.
+/// What a dispatcher holds at a worker. It is all of it rather than the change: a word may be lost or
+/// overtaken by the next one, and what is added up of changes would never be right again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Holds {
     /// The worker.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -182,7 +182,8 @@
                     break fault;
                 },
                 // At another address the versions may be others, and a watch that still waits at the old one
-                // would be told nothing more: the whole list is asked for at once. Until it comes the old stays.
+                // would be told nothing more: the whole list is asked for at once. Until it comes the old
+                // stays.
                 () = s.group.moved.notified() => seq = None,
             }
         };
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -306,8 +306,8 @@
     }
 
     /// Ends a connection on which more may be coming: closing at once would reset it, and the answer just
-    /// written could be lost with it. A client that writes a large body before it reads anything is let finish
-    /// it, at a pace that leaves the core to others.
+    /// written could be lost with it. A client that writes a large body before it reads anything is let
+    /// finish it, at a pace that leaves the core to others.
     pub async fn linger(mut self) {
         const PACE: Duration = Duration::from_millis(1);
         let _ = self.stream.shutdown().await;
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -13,8 +13,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A request is whole within this time: the first one of a connection counted from its start, so that one which
-/// says nothing ends as well, a later one from its first byte.
+/// A request is whole within this time: the first one of a connection counted from its start, so that one
+/// which says nothing ends as well, a later one from its first byte.
 const WHOLE: Duration = Duration::from_secs(2);
 /// A connection younger than this may have its request on the way: others make room first.
 const PROBATION: Nanos = 250_000_000;
@@ -72,10 +72,10 @@
         self.seats.borrow().values().filter(|s| matches!(s.state, State::Partial(_) | State::Served)).count()
     }
 
-    /// Asks one connection to close: the one that has owed a request for longest, or has been idle for longest and
-    /// never brought work; then an idle one that has, as its client may be about to use it again; only then one that
-    /// has just come. Call-backs need a seat too, and would else wait behind connections that say nothing, half of
-    /// something, or nothing more.
+    /// Asks one connection to close: the one that has owed a request for longest, or has been idle for
+    /// longest and never brought work; then an idle one that has, as its client may be about to use it again;
+    /// only then one that has just come. Call-backs need a seat too, and would else wait behind connections
+    /// that say nothing, half of something, or nothing more.
     fn evict(&self, now: Nanos) {
         let seats = self.seats.borrow();
         let rank = |seat: &&Occupied| match seat.state {
@@ -128,8 +128,8 @@
     }
 }
 
-/// Accepts connections for as long as the program runs. At the limit others make room, and if all wait for their
-/// answers newcomers wait in the kernel's queue.
+/// Accepts connections for as long as the program runs. At the limit others make room, and if all wait for
+/// their answers newcomers wait in the kernel's queue.
 pub async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
     let mut failing = false;
     loop {
@@ -229,8 +229,8 @@
     }
 }
 
-/// Waits for the first byte of a request; false if the connection is over. One that we close is looked at once
-/// more: what has arrived by then is a request like any other.
+/// Waits for the first byte of a request; false if the connection is over. One that we close is looked at
+/// once more: what has arrived by then is a request like any other.
 async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool, until: Instant) -> bool {
     let s = &seat.s;
     let ours = tokio::select! {
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -6,8 +6,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 
-/// Takes SIGHUP over, for as long as the program runs: left to its default it would end the program with every
-/// flow it has taken. A faulty configuration is logged by its key and changes nothing.
+/// Takes SIGHUP over, for as long as the program runs: left to its default it would end the program with
+/// every flow it has taken. A faulty configuration is logged by its key and changes nothing.
 pub fn start(s: &Rc<Scheduler>) -> io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
     let s = Rc::clone(s);
--- a/src/net/send.rs
+++ b/src/net/send.rs
@@ -50,7 +50,8 @@
     /// Idle connections live this long: well below the time after which a target closes them, since a
     /// request that crosses such an end counts as one that may have run.
     keep: Nanos,
-    /// The same for targets whose connections have proved to end sooner than they ought to, and when they did.
+    /// The same for targets whose connections have proved to end sooner than they ought to, and when they
+    /// did.
     shorter: RefCell<HashMap<WorkerId, (Nanos, Nanos)>>,
 }
 
@@ -61,8 +62,8 @@
         Pool { idle, open, limit, keep: keepalive / 4 * 3, shorter }
     }
 
-    /// A connection to the target broke at its next use: something on the way had dropped it while it was idle,
-    /// and would drop others like it. The next ones are kept for half of that time.
+    /// A connection to the target broke at its next use: something on the way had dropped it while it was
+    /// idle, and would drop others like it. The next ones are kept for half of that time.
     fn broke(&self, target: WorkerId, idle: Nanos, now: Nanos) {
         let keep = self.keep(target, now).min(idle / 2);
         self.shorter.borrow_mut().insert(target, (keep, now));
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -37,9 +37,9 @@
         self.since.get().is_some()
     }
 
-    /// When flows cease to be taken and connections close. Clients keep to the connections that they have, and
-    /// while a peer restarts as well nobody else serves them: so those stay in use for half of the wait, and
-    /// the other half is left to what was taken last.
+    /// When flows cease to be taken and connections close. Clients keep to the connections that they have,
+    /// and while a peer restarts as well nobody else serves them: so those stay in use for half of the wait,
+    /// and the other half is left to what was taken last.
     fn closing(&self) -> Option<Nanos> {
         self.since.get().map(|at| at + NOTICE + self.wait / 2)
     }
@@ -49,8 +49,8 @@
         self.closing().is_some_and(|at| now >= at)
     }
 
-    /// By when a flow that is taken now must have its answer, if the end has been asked for: what is taken after
-    /// the notice is lost if the platform's kill finds it open.
+    /// By when a flow that is taken now must have its answer, if the end has been asked for: what is taken
+    /// after the notice is lost if the platform's kill finds it open.
     pub fn answer_by(&self) -> Option<Nanos> {
         self.since.get().map(|at| at + NOTICE + self.wait - MARGIN.min(self.wait / 4))
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,9 @@
 //! Every decision of a dispatcher. The interface, that is settings, events and actions, is in `src/api.rs`.
 //!
-//! From top to bottom: the constants, and the [`Dispatcher`] that turns events into actions. The random neural
-//! network of a class is in `src/network.rs`, what is remembered in `src/state.rs`. Why a worker was picked is
-//! told by `Dispatcher::pick`: highest q over what stands in its way, among the workers that `usable` lets pass.
+//! From top to bottom: the constants, and the [`Dispatcher`] that turns events into actions. The random
+//! neural network of a class is in `src/network.rs`, what is remembered in `src/state.rs`. Why a worker was
+//! picked is told by `Dispatcher::pick`: highest q over what stands in its way, among the workers that
+//! `usable` lets pass.
 
 use crate::api::*;
 use crate::fading::{Fading, fade, toward};
@@ -25,13 +26,13 @@
 const CROSS: f64 = 8.0;
 /// Part of its slack that a job waits for the workers that its key belongs to, while these widen to all.
 const HOME_WAIT: f64 = 0.3;
-/// What a wait for slots at a worker weighs, in mean running times: late is worth nothing, so any worker that has
-/// the slots free comes first. Jobs that find no slot at all wait here, where they can still choose.
+/// What a wait for slots at a worker weighs, in mean running times: late is worth nothing, so any worker that
+/// has the slots free comes first. Jobs that find no slot at all wait here, where they can still choose.
 const WAIT: f64 = 4.0;
 /// What a job served leaves of the failures before it. One that fails most jobs serves some all the same.
 const FORGIVE: f64 = 0.7;
-/// What peers told of a worker is forgotten but for 1/e in this time: a word of theirs may have been lost. Jobs
-/// can run for many seconds, and a worker they hold would look free if it were forgotten sooner.
+/// What peers told of a worker is forgotten but for 1/e in this time: a word of theirs may have been lost.
+/// Jobs can run for many seconds, and a worker they hold would look free if it were forgotten sooner.
 const LOST: f64 = 60e9;
 /// A peer's word that is overtaken by a later one comes within this time of it.
 const LATE: Nanos = 10_000_000_000;
@@ -618,8 +619,8 @@
         self.waits.get_mut(zone.0).into_iter().for_each(|w| w.set(self.now, mean));
     }
 
-    /// Whether all that is sent to the workers is sent here or told by peers: reports, late and noisy, then have
-    /// nothing to add on what is held there.
+    /// Whether all that is sent to the workers is sent here or told by peers: reports, late and noisy, then
+    /// have nothing to add on what is held there.
     fn all_told(&self) -> bool {
         self.set.reports != Reports::Probes && self.group.len() + 1 >= self.set.dispatchers as usize
     }
