Move into a workspace: decide, scheduler and simhost as packages of their own

Cause: tests, an emulator and further fronts must be able to host a scheduler, and the module must be usable without its sockets; both were folders inside one package.

No decision and no byte on the wire changes.

--- a/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1,7 +1,7 @@
 //! The decision module through its public interface.
 
-use loomlb::rules::Network;
-use loomlb::*;
+use loomlb_decide::rules::Network;
+use loomlb_decide::*;
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
--- a/src/net/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -3,8 +3,8 @@
 use super::book::{Answer, Flow, Work};
 use super::wheel::Due;
 use super::{Scheduler, route};
-use loomlb::boot::key;
-use loomlb::{ClassId, Event, Nanos, Request, RequestId, TenantId};
+use loomlb_decide::boot::key;
+use loomlb_decide::{ClassId, Event, Nanos, Request, RequestId, TenantId};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
--- a/src/net/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -1,7 +1,7 @@
 //! Book: the table of open flows with their forwards, and the counters.
 
 use bytes::Bytes;
-use loomlb::{Nanos, Outcome, RequestId, WorkerId};
+use loomlb_decide::{Nanos, Outcome, RequestId, WorkerId};
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
@@ -82,31 +82,57 @@
 /// Counts of what came in, was sent, and was answered.
 #[derive(Clone, Debug, Default)]
 pub struct Counters {
+    /// Connections accepted.
     pub connections: u64,
+    /// Flows taken.
     pub flows: u64,
+    /// Flows answered with what a target made.
     pub served: u64,
+    /// Flows refused.
     pub refused: u64,
+    /// Flows failed.
     pub failed: u64,
+    /// Flows whose client left before its answer.
     pub gone: u64,
+    /// Flows that the guard answered at their deadline.
     pub overdue: u64,
+    /// Offers for which there was no room.
     pub turned_back: u64,
+    /// Plain answers to bad input, by status.
     pub bad: [u64; BAD.len()],
+    /// Attempts that the module asked for.
     pub forwards: u64,
+    /// Ends of attempts, by outcome.
     pub outcomes: [u64; OUTCOMES.len()],
+    /// Attempts given up after their 202.
     pub undone: u64,
+    /// Connections to targets opened.
     pub dials: u64,
+    /// Connections to targets used again.
     pub reused: u64,
+    /// Probes sent.
     pub probes: u64,
+    /// Call-backs of targets.
     pub call_backs: u64,
+    /// Call-backs of a forward that is not out.
     pub call_backs_unknown: u64,
+    /// Lists of targets taken in.
     pub lists: u64,
+    /// Calls of discovery that failed.
     pub list_faults: u64,
+    /// Configurations read again.
     pub reloads: u64,
+    /// Configurations read again and found faulty.
     pub reload_faults: u64,
+    /// Datagrams of peers.
     pub peers_in: u64,
+    /// Datagrams sent to peers.
     pub peers_out: u64,
+    /// Connections closed that said nothing.
     pub silent: u64,
+    /// Connections that could not be accepted.
     pub accept_faults: u64,
+    /// Panics of the decision module.
     pub panics: u64,
 }
 
@@ -227,6 +253,11 @@
         self.flows.len()
     }
 
+    /// No flow is in the table.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
     /// Bytes that the bodies of open flows take.
     pub fn body_bytes(&self) -> usize {
         self.body_bytes
--- a/src/net/clock.rs
+++ b/crates/scheduler/src/clock.rs
@@ -1,6 +1,6 @@
 //! One clock for everything: monotonic, anchored once to Unix time.
 
-use loomlb::Nanos;
+use loomlb_decide::Nanos;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Nanoseconds since 1970 that never run backwards, so that a target's start, told in Unix time, and our own
@@ -11,13 +11,15 @@
     anchor: Nanos,
 }
 
-impl Clock {
+impl Default for Clock {
     /// Anchors the clock to the system's time of this moment.
-    pub fn new() -> Self {
+    fn default() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), anchor: unix.as_nanos() as Nanos }
     }
+}
 
+impl Clock {
     /// The time now.
     pub fn now(&self) -> Nanos {
         self.anchor + self.start.elapsed().as_nanos() as Nanos
--- a/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration: the one place where it is read, checked and given defaults.
 
-use loomlb::boot::{BootInfo, Names, Terms};
-use loomlb::{PeerId, Settings};
+use loomlb_decide::boot::{BootInfo, Names, Terms};
+use loomlb_decide::{PeerId, Settings};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
--- a/src/net/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -3,7 +3,7 @@
 use super::clock::from_unix_ms;
 use super::http::{Kind, Wire};
 use super::{Scheduler, route};
-use loomlb::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
+use loomlb_decide::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
--- a/src/net/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -39,7 +39,9 @@
 /// What to read: a request or a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
+    /// From a client.
     Request,
+    /// From a server.
     Response,
 }
 
--- a/src/net/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -4,7 +4,7 @@
 use super::book::{Answer, Work};
 use super::http::{Fault, Kind, Message, Wire, response};
 use super::{Scheduler, relay};
-use loomlb::Nanos;
+use loomlb_decide::Nanos;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/src/net/mod.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,9 +6,12 @@
 //! waits for their answers. Everything runs on one thread, so what is shared is in cells, never borrowed
 //! across a wait.
 
+#![forbid(unsafe_code)]
+
 pub mod admit;
 pub mod book;
 pub mod clock;
+pub mod config;
 pub mod discovery;
 pub mod http;
 pub mod intake;
@@ -20,8 +23,8 @@
 pub mod shutdown;
 pub mod wheel;
 
-use crate::config::Config;
-use loomlb::{Dispatcher, Event};
+use config::Config;
+use loomlb_decide::{Dispatcher, Event};
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -64,7 +67,7 @@
     let named = |what: &str, e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
     let listener = TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?;
     let peers = peers::Peers::open(&config).await.map_err(|e| named("peer_listen", e))?;
-    let clock = clock::Clock::new();
+    let clock = clock::Clock::default();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let s = Rc::new(Scheduler {
         router: route::Router::new(Dispatcher::new(config.settings.clone(), config.seed)),
--- a/src/net/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -2,7 +2,7 @@
 
 use super::{Scheduler, route};
 use crate::config::Config;
-use loomlb::{Event, PeerId, Receiver};
+use loomlb_decide::{Event, PeerId, Receiver};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/net/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -3,7 +3,7 @@
 use super::book::{Answer, Stage};
 use super::{Scheduler, route};
 use bytes::Bytes;
-use loomlb::{Ended, Event, Note, Outcome, Report, RequestId};
+use loomlb_decide::{Ended, Event, Note, Outcome, Report, RequestId};
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::rc::Rc;
--- a/src/net/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -1,7 +1,7 @@
 //! Shutdown: from SIGTERM to the end, without losing what was taken.
 
 use super::Scheduler;
-use loomlb::Nanos;
+use loomlb_decide::Nanos;
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
--- a/src/bin/loomlb-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,8 +3,8 @@
 mod wire;
 
 use base64::Engine as _;
-use loomlb::boot::{Names, key};
-use loomlb::{
+use loomlb_decide::boot::{Names, key};
+use loomlb_decide::{
     Action, ClassId, Dispatcher, Ended, Event, Nanos, Note, PeerId, Request, RequestId, TenantId, WorkerId,
 };
 use rustc_hash::FxHashMap;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,8 @@
 //! loomlb, a job scheduler: the command line. See README.md for what it is and how its parts fit.
 #![forbid(unsafe_code)]
 
-mod config;
-mod net;
-
 use lexopt::prelude::*;
+use loomlb_scheduler::config::Config;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -79,7 +77,7 @@
         Command::Help => print!("{HELP}"),
         Command::Version => println!("loomlb {}", env!("CARGO_PKG_VERSION")),
         Command::Serve | Command::CheckConfig => {
-            let config = match config::Config::load(file.as_deref()) {
+            let config = match Config::load(file.as_deref()) {
                 Ok(config) => config,
                 Err(e) => {
                     eprintln!("loomlb: configuration: {e}");
@@ -91,7 +89,7 @@
                 return ExitCode::SUCCESS;
             }
             env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-            if let Err(e) = net::serve(config) {
+            if let Err(e) = loomlb_scheduler::serve(config) {
                 eprintln!("loomlb: {e}");
                 return ExitCode::FAILURE;
             }
