--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,6 @@
+//! The laboratory's parts: days that ship, textbook policies to compare with, and tables.
+#![forbid(unsafe_code)]
+
+pub mod baselines;
+pub mod days;
+pub mod tables;
--- /dev/null
+++ b/crates/model/src/clients.rs
@@ -0,0 +1,218 @@
+//! Clients: when requests arrive and what they are, and what a client does with an answer.
+
+use crate::day::{Backoff, Day, Effect, Shape, TroubleKind};
+use crate::seed::{Stream, Streams};
+use loomlb_decide::Nanos;
+
+/// The part of the fleet's capacity that is shared out to tenants.
+const SHARED: f64 = 0.8;
+/// Seconds of its rate that a tenant may use at once.
+const BUCKET_S: f64 = 5.0;
+
+/// One request, as its client thinks of it; its tries carry ids of their own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Its number, from 1.
+    pub number: u64,
+    /// When its first try leaves the client.
+    pub at: Nanos,
+    /// Its class.
+    pub class: usize,
+    /// Its tenant.
+    pub tenant: Option<usize>,
+    /// What it is about.
+    pub subject: u64,
+    /// Slots that its job takes.
+    pub slots: u32,
+    /// Work of its job, in nanoseconds of a yardstick core.
+    pub work: f64,
+    /// Its client leaves after this time, in nanoseconds.
+    pub patience: Nanos,
+    /// Its client reads answers slowly: so many nanoseconds pass before the last byte is there.
+    pub slow: Nanos,
+    /// Within its tenant's share, as far as the rate goes.
+    pub in_share: bool,
+}
+
+/// The stream of requests of a day, in the order of time.
+#[derive(Debug)]
+pub struct Arrivals {
+    when: Stream,
+    what: Stream,
+    work: Stream,
+    subject: Stream,
+    habits: Stream,
+    rate: f64,
+    at: f64,
+    number: u64,
+    end: f64,
+    tenant_rate: Vec<f64>,
+    /// Each tenant's bucket: what is in it, and as of when.
+    buckets: Vec<(f64, f64)>,
+    /// Requests that came within a burst, cost more than usual, or have a slow reader.
+    pub burst: u64,
+    /// See `burst`.
+    pub heavy: u64,
+    /// See `burst`.
+    pub slow: u64,
+}
+
+impl Arrivals {
+    /// The arrivals of a day whose fleet can do `capacity` nanoseconds of work in a nanosecond.
+    pub fn new(day: &Day, streams: &Streams, capacity: f64) -> Self {
+        let rate = day.load.rate_per_s.unwrap_or_else(|| {
+            let shares: f64 = day.classes.iter().map(|c| c.share).sum();
+            let work: f64 =
+                day.classes.iter().map(|c| c.share / shares * c.work_ms / 1e3 * mean_cores(&c.slots)).sum();
+            day.load.part.unwrap_or(0.6) * capacity / work.max(1e-9)
+        });
+        let shares: f64 = day.tenants.iter().map(|t| t.share).sum();
+        // Shares are of what the fleet can do, with some room kept; without a word on it 70 % is taken to be in use.
+        let able = rate / day.load.part.unwrap_or(0.7).max(0.1) * SHARED;
+        Arrivals {
+            when: streams.named("arrivals"),
+            what: streams.named("classes"),
+            work: streams.named("work"),
+            subject: streams.named("subjects"),
+            habits: streams.named("habits"),
+            rate,
+            at: 0.0,
+            number: 0,
+            end: day.seconds,
+            tenant_rate: day.tenants.iter().map(|t| t.share / shares * able).collect(),
+            buckets: day.tenants.iter().map(|t| (BUCKET_S * t.share / shares * able, 0.0)).collect(),
+            burst: 0,
+            heavy: 0,
+            slow: 0,
+        }
+    }
+
+    /// Requests a second, on average.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Requests a second of each tenant that are within its share.
+    pub fn tenant_rates(&self) -> &[f64] {
+        &self.tenant_rate
+    }
+
+    fn rate_at(&self, day: &Day, at: f64) -> (f64, bool) {
+        let wave = match day.load.shape {
+            Shape::Steady => 1.0,
+            Shape::Wave => 1.0 + day.load.swing * (at / day.seconds * std::f64::consts::TAU).sin(),
+        };
+        let on =
+            |t: &&crate::day::Trouble| t.kind == TroubleKind::Burst && at >= t.at_s && at < t.at_s + t.for_s;
+        let burst: f64 = day.troubles.iter().filter(on).map(|t| t.size.unwrap_or(2.0)).product();
+        (self.rate * wave * burst, burst != 1.0)
+    }
+
+    /// Whether a tenant is within its share: a bucket that its rate fills, some seconds deep.
+    fn in_share(&mut self, tenant: usize) -> bool {
+        let (rate, now) = (self.tenant_rate[tenant], self.at);
+        let (level, at) = &mut self.buckets[tenant];
+        *level = (*level + rate * (now - *at)).min(BUCKET_S * rate + 1.0);
+        *at = now;
+        let within = *level >= 1.0;
+        *level -= f64::from(u8::from(within));
+        within
+    }
+
+    /// The next request; none once the day's time is over.
+    pub fn next(&mut self, day: &Day) -> Option<Request> {
+        let (rate, _) = self.rate_at(day, self.at);
+        self.at += self.when.exponential() / rate.max(1e-9);
+        if self.at >= self.end {
+            return None;
+        }
+        self.burst += u64::from(self.rate_at(day, self.at).1);
+        self.number += 1;
+        let shares: Vec<f64> = day.classes.iter().map(|c| c.share).collect();
+        let class = self.what.pick(&shares);
+        let c = &day.classes[class];
+        let slots = 1 << self.what.pick(&c.slots);
+        let weights: Vec<f64> = day.tenants.iter().map(|t| t.share * t.usage).collect();
+        let tenant = self.what.pick(&weights);
+        let tenant = (!day.tenants.is_empty()).then_some(tenant);
+        let in_share = tenant.is_none_or(|t| self.in_share(t));
+        let mut work = c.work_ms * 1e6 * self.work.log_normal(c.cv);
+        let (heavy, slow, hasty) = (self.habits.unit(), self.habits.unit(), self.habits.unit());
+        let early = self.habits.unit();
+        let mut read = 0;
+        for (i, t) in day.troubles.iter().enumerate() {
+            if self.at < t.at_s || self.at >= t.at_s + t.for_s {
+                continue;
+            }
+            match t.kind {
+                TroubleKind::HeavyTail if class == i % day.classes.len() && heavy < t.part => {
+                    work *= t.size.unwrap_or(15.0);
+                    self.heavy += 1;
+                }
+                TroubleKind::SlowReader if slow < t.part => {
+                    read = (t.size.unwrap_or(0.2) * 1e9) as Nanos;
+                    self.slow += 1;
+                }
+                _ => {}
+            }
+        }
+        let deadline = c.deadline_ms * 1e6;
+        let patience = if hasty < day.clients.impatient { deadline * (0.02 + 0.3 * early) } else { deadline };
+        Some(Request {
+            number: self.number,
+            at: (self.at * 1e9) as Nanos,
+            class,
+            tenant,
+            subject: self.subject.below(day.load.subjects) as u64,
+            slots,
+            work,
+            patience: patience as Nanos,
+            slow: read,
+            in_share,
+        })
+    }
+}
+
+/// Cores that a job of a class keeps busy on average: a job of several slots keeps several of them.
+fn mean_cores(slots: &[f64]) -> f64 {
+    let sum: f64 = slots.iter().sum();
+    slots.iter().enumerate().map(|(i, s)| s / sum * f64::from(1 << i)).sum()
+}
+
+/// How a try ended, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Served,
+    /// Refused, with the time after which to come back; 0 for no word.
+    Refused(Nanos),
+    /// Failed, or no answer in time.
+    Failed,
+    /// No scheduler could be reached, or it went away.
+    Unreachable,
+}
+
+/// Whether and when a client tries again after its try number `tries` (from 1): in nanoseconds from now.
+pub fn again(day: &Day, rng: &mut Stream, class: usize, tries: u32, outcome: Outcome) -> Option<Nanos> {
+    let (honours, jitter) = (rng.chance(day.clients.honour), rng.within([0.8, 1.2]));
+    if outcome == Outcome::Served || tries > day.clients.retries {
+        return None;
+    }
+    let free = match outcome {
+        Outcome::Refused(_) | Outcome::Unreachable => true,
+        _ => day.classes[class].effect == Effect::Safe,
+    };
+    if !free {
+        return None;
+    }
+    let base = day.clients.backoff_ms * 1e6;
+    let wait = match day.clients.backoff {
+        Backoff::AtOnce => 0.0,
+        Backoff::Fixed => base,
+        Backoff::Exponential => base * f64::from(1u32 << (tries - 1).min(16)),
+    } * jitter;
+    Some(match outcome {
+        Outcome::Refused(after) if honours && after > 0 => after.max(wait as Nanos),
+        _ => wait as Nanos,
+    })
+}
--- /dev/null
+++ b/crates/model/src/figures.rs
@@ -0,0 +1,152 @@
+//! The figures of a day: what became of the requests, as their clients saw it.
+
+use crate::clients::Request;
+use crate::day::Day;
+use hdrhistogram::Histogram;
+use loomlb_decide::Nanos;
+use serde::Serialize;
+
+/// Seconds of the window whose worst is told.
+const WINDOW: usize = 10;
+
+/// The end of a request, after all its tries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// Served.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// No scheduler could be reached.
+    Unreachable,
+    /// Its client left early.
+    Left,
+}
+
+/// Collects figures while a day runs.
+#[derive(Debug)]
+pub struct Collector {
+    requests: u64,
+    served: u64,
+    in_time: u64,
+    refused: u64,
+    failed: u64,
+    unreachable: u64,
+    left: u64,
+    tries: u64,
+    latency: Histogram<u64>,
+    /// Worth asked for and earned, by class, by tenant and by second of the first try.
+    classes: Vec<[f64; 2]>,
+    tenants: Vec<[f64; 2]>,
+    seconds: Vec<[f64; 2]>,
+}
+
+/// The figures of a day.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// Requests that clients made, retries not counted.
+    pub requests: u64,
+    /// Tries, retries included.
+    pub tries: u64,
+    /// Requests served in the end.
+    pub served: u64,
+    /// Requests served within the wanted time.
+    pub in_time: u64,
+    /// Requests refused in the end.
+    pub refused: u64,
+    /// Requests failed in the end.
+    pub failed: u64,
+    /// Requests whose client reached no scheduler.
+    pub unreachable: u64,
+    /// Requests whose client left early.
+    pub left: u64,
+    /// Worth answered in time over worth asked for, from 0 to 1.
+    pub service: f64,
+    /// The same in the worst 10 s.
+    pub worst_window: f64,
+    /// The same by class, in the day's order.
+    pub classes: Vec<f64>,
+    /// The same by tenant.
+    pub tenants: Vec<f64>,
+    /// Time from the first try to the answer of served requests, in milliseconds.
+    pub p50_ms: f64,
+    /// See `p50_ms`.
+    pub p99_ms: f64,
+}
+
+impl Collector {
+    /// For a day.
+    pub fn new(day: &Day) -> Self {
+        Collector {
+            requests: 0,
+            served: 0,
+            in_time: 0,
+            refused: 0,
+            failed: 0,
+            unreachable: 0,
+            left: 0,
+            tries: 0,
+            latency: Histogram::new_with_bounds(1, 3_600_000_000, 3)
+                .unwrap_or_else(|_| unreachable!("fixed bounds")),
+            classes: vec![[0.0; 2]; day.classes.len()],
+            tenants: vec![[0.0; 2]; day.tenants.len()],
+            seconds: vec![[0.0; 2]; day.seconds.ceil() as usize + 1],
+        }
+    }
+
+    /// A request has ended at `at`, after so many tries.
+    pub fn ended(&mut self, day: &Day, request: &Request, at: Nanos, tries: u32, end: Final) {
+        self.requests += 1;
+        self.tries += u64::from(tries);
+        let class = &day.classes[request.class];
+        let taken = at.saturating_sub(request.at);
+        let wanted = class.aim_ms * 1e6 + class.stretch * request.work;
+        let in_time = end == Final::Served && taken as f64 <= wanted.min(class.deadline_ms * 1e6);
+        match end {
+            Final::Served => self.served += 1,
+            Final::Refused => self.refused += 1,
+            Final::Failed => self.failed += 1,
+            Final::Unreachable => self.unreachable += 1,
+            Final::Left => self.left += 1,
+        }
+        self.in_time += u64::from(in_time);
+        if end == Final::Served {
+            self.latency.saturating_record((taken / 1000).max(1));
+        }
+        let share = if request.in_share { 1.0 } else { day.terms.over_share_worth };
+        let worth = class.worth * request.work / 1e9 * f64::from(request.slots) * share;
+        let earned = if in_time { worth } else { 0.0 };
+        let second = (request.at / 1_000_000_000) as usize;
+        let tenant = request.tenant.filter(|_| request.in_share).and_then(|t| self.tenants.get_mut(t));
+        let sums = [self.classes.get_mut(request.class), tenant, self.seconds.get_mut(second)];
+        for sum in sums.into_iter().flatten() {
+            sum[0] += worth;
+            sum[1] += earned;
+        }
+    }
+
+    /// The figures so far.
+    pub fn figures(&self) -> Figures {
+        let part = |s: &[f64; 2]| if s[0] > 0.0 { s[1] / s[0] } else { 1.0 };
+        let sum = |all: &[[f64; 2]]| all.iter().fold([0.0; 2], |a, s| [a[0] + s[0], a[1] + s[1]]);
+        let windows = self.seconds.windows(WINDOW.min(self.seconds.len().max(1)));
+        let ms = |q: f64| self.latency.value_at_quantile(q) as f64 / 1e3;
+        Figures {
+            requests: self.requests,
+            tries: self.tries,
+            served: self.served,
+            in_time: self.in_time,
+            refused: self.refused,
+            failed: self.failed,
+            unreachable: self.unreachable,
+            left: self.left,
+            service: part(&sum(&self.classes)),
+            worst_window: windows.map(|w| part(&sum(w))).fold(1.0, f64::min),
+            classes: self.classes.iter().map(part).collect(),
+            tenants: self.tenants.iter().map(part).collect(),
+            p50_ms: ms(0.5),
+            p99_ms: ms(0.99),
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/settings.rs
@@ -0,0 +1,110 @@
+//! What a scheduler is told at its start, in the platform's words, and the list's entries.
+
+use crate::day::{Day, Effect, Mode, Queue};
+use crate::world::{Entry, Health, World};
+use loomlb_decide::boot::{BootInfo, Names};
+use loomlb_decide::{CellId, Settings, Worker, WorkerId, WorkerState};
+use serde_json::{Value, json};
+
+/// The one zone of the model.
+pub const ZONE: &str = "here";
+
+fn ns(ms: f64) -> u64 {
+    (ms * 1e6) as u64
+}
+
+/// The settings of one scheduler of a day, as the platform words them. `tenant_rates` are requests a second.
+pub fn words(day: &Day, scheduler: usize, tenant_rates: &[f64]) -> Value {
+    let classes: Vec<Value> = day
+        .classes
+        .iter()
+        .map(|c| {
+            let (effect, group) = match c.effect {
+                Effect::Safe => ("idempotent", "all"),
+                Effect::Keyed => ("deduplicated", "cell"),
+                Effect::Unsafe => ("at_most_once", "all"),
+            };
+            json!({"name": c.name, "aim": ns(c.aim_ms), "give_up": ns(c.deadline_ms), "worth": c.worth, "late_worth": 0.0,
+                "effect": effect, "group": group, "repeat_window": ns(c.window_ms), "stream": false})
+        })
+        .collect();
+    let shares: f64 = day.tenants.iter().map(|t| t.share).sum();
+    let tenants: Vec<Value> = day
+        .tenants
+        .iter()
+        .zip(tenant_rates)
+        .map(|(t, rate)| json!({"name": t.name, "quota_rps": rate, "share": t.share / shares}))
+        .collect();
+    let kinds: Vec<&str> = day.fleet.kinds.iter().map(|k| k.name.as_str()).collect();
+    let coldest = day.fleet.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min);
+    let cold = day.fleet.kinds.iter().map(|k| k.cold_s).fold(0.0, f64::max);
+    let order = match day.fleet.queue {
+        Queue::Fifo => "fifo",
+        Queue::Backfill => "backfill",
+        Queue::Priority => "priority",
+    };
+    json!({
+        "balancers": day.schedulers.count, "rank": scheduler, "my_zone": ZONE, "zones": [ZONE], "kinds": kinds,
+        "classes": classes, "tenants": tenants, "over_share_worth": day.terms.over_share_worth, "worth_by": "work",
+        "registry_mode": if day.discovery.mode == Mode::Poll { "subscribe" } else { "automatic" },
+        "weights": if day.discovery.weights_ms > 0.0 { "live" } else { "off" }, "tick": ns(day.tick_ms),
+        "load_report": {"how": if day.reports.on { "inline" } else { "off" }, "fields": ["rif", "rate", "x0"]},
+        "ceilings": {
+            "cancel": true, "dial_timeout": ns(day.network.dial_ms), "keepalive": ns(day.network.idle_s * 1e3),
+            "max_attempts": day.terms.max_attempts, "max_open": 20_000, "streams_per_conn": 1,
+            "max_retry_after": ns(day.terms.max_retry_after_ms), "retry_after": day.terms.max_retry_after_ms > 0.0,
+            "may_tell": day.schedulers.talk, "probing": day.schedulers.probes,
+            "second_copies": day.terms.second_copies,
+        },
+        "obligations": {
+            "cold": ns(cold * 1e3), "cold_from": coldest, "drain_grace": ns(day.terms.drain_grace_ms),
+            "must_ask_in": 10_000_000_000u64, "overload_factor": day.terms.fall_multiple,
+            "overload_for": ns(day.terms.fall_ms), "grace_to_answer": ns(day.terms.answer_grace_ms),
+        },
+        "penalties": {"waste": 0.02, "late_fail": 0.064, "peer": 0.0086, "probe": 0.002, "handshake": 0.02, "cross_zone": 0.0},
+        "extra": {
+            "class_kind": vec![-1; day.classes.len()],
+            "class_stretch": day.classes.iter().map(|c| c.stretch).collect::<Vec<f64>>(),
+            "class_priority": day.classes.iter().map(|c| c.priority).collect::<Vec<i32>>(),
+            "progress": ns(day.terms.progress_ms), "tells_start": true, "queue_order": order,
+            "report_x0": "free slots",
+        },
+    })
+}
+
+/// The same as the decision module takes it.
+pub fn settings(day: &Day, scheduler: usize, tenant_rates: &[f64]) -> (Settings, Names) {
+    // The words are made above, so a key that does not fit is a fault of this file; a test reads them all.
+    serde_json::from_value::<BootInfo>(words(day, scheduler, tenant_rates)).unwrap_or_default().read()
+}
+
+/// An entry of the list as the decision module takes it.
+pub fn worker(world: &World, names: &Names, entry: &Entry) -> Worker {
+    let state = match entry.health {
+        Health::Active => WorkerState::Ready,
+        Health::Leaving => WorkerState::Draining,
+        Health::Left => WorkerState::Gone,
+    };
+    let id = WorkerId(entry.worker as u64 + 1);
+    let worker = Worker {
+        state,
+        cell: CellId(world.cell(entry.worker) as u64),
+        weight: entry.weight,
+        started: entry.born,
+        ..Worker::new(id)
+    };
+    names.worker(ZONE, &world.day.fleet.kinds[world.kind(entry.worker)].name, worker)
+}
+
+/// An entry of the list in discovery's form. `epoch_ms` is the Unix time of the day's start, in milliseconds.
+pub fn entry(world: &World, entry: &Entry, dial: &str, epoch_ms: u64) -> Value {
+    let health = match entry.health {
+        Health::Active => "active",
+        Health::Leaving => "leaving",
+        Health::Left => "left",
+    };
+    let born = if entry.born == 0 { 0 } else { epoch_ms + entry.born / 1_000_000 };
+    json!({"host": World::name(entry.worker), "dial": dial, "site": ZONE,
+        "class": world.day.fleet.kinds[world.kind(entry.worker)].name, "block": world.cell(entry.worker),
+        "health": health, "share": entry.weight, "born_ms": born})
+}
