Command line on clap, logs on tracing, and the platform emulated on loopback sockets

Change: loomlb's command line is a library on clap that the laboratory hosts as well; logs go through tracing as text or JSON, and at debug level a flow's lines carry flow, id, class, tenant, target and attempt. LB_* variables and the platform's JSON are as they were. loomlb-emulator plays the model's world behind real listeners (hyper) around real scheduler processes: workers with call-backs, discovery's agents, peers' paths with delay and loss, clients, signals, kills and restarts, all judged by the same referee. loomlb-lab gains emulate and demo.

--- /dev/null
+++ b/crates/emulator/src/stage.rs
@@ -0,0 +1,412 @@
+//! The stage: what all stand-ins share, and the run of a day from its start to its end.
+
+use crate::{agent, clients, peers, schedulers, workers};
+use hdrhistogram::Histogram;
+use loomlb_decide::Nanos;
+use loomlb_model::clients::{Arrivals, Request};
+use loomlb_model::day::Day;
+use loomlb_model::figures::{Collector, Figures};
+use loomlb_model::referee::{Breach, Seen};
+use loomlb_model::seed::Stream;
+use loomlb_model::world::{Counters, Deed, World, secs};
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::ffi::OsString;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+/// How much later than planned things may happen here before the run says that the machine was too slow for it.
+const LATE: Nanos = 100_000_000;
+
+/// How to play a day on sockets.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The scheduler's program with its first arguments; `serve` is added to them.
+    pub program: Vec<OsString>,
+    /// What is added to every limit of the referee, for the machine's own delays.
+    pub slack: Duration,
+    /// Memory that each scheduler is told it has, in MB.
+    pub memory_mb: usize,
+    /// Descriptors that each scheduler is told it has.
+    pub sockets: usize,
+    /// Schedulers' logs go to standard error rather than nowhere.
+    pub show_logs: bool,
+    /// Workers also serve requests that none of the day's clients sent, such as one typed by a person.
+    pub guests: bool,
+}
+
+impl Options {
+    /// The usual ones, for a program.
+    pub fn new(program: Vec<OsString>) -> Self {
+        Options {
+            program,
+            slack: Duration::from_millis(500),
+            memory_mb: 192,
+            sockets: 1024,
+            show_logs: false,
+            guests: false,
+        }
+    }
+}
+
+/// Ends a run early and in order, from any thread.
+#[derive(Clone, Debug, Default)]
+pub struct Stop(Arc<AtomicBool>);
+
+impl Stop {
+    /// Ends it.
+    pub fn now(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+    /// Whether that was asked for.
+    pub fn asked(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// How a run goes, told once a second.
+#[derive(Clone, Debug)]
+pub struct Live {
+    /// Seconds since the first request.
+    pub second: u64,
+    /// Addresses of the schedulers.
+    pub listen: Vec<String>,
+    /// Figures so far.
+    pub figures: Figures,
+    /// What the referee saw so far.
+    pub seen: Seen,
+    /// Breaches so far.
+    pub breaches: u64,
+    /// Workers that serve.
+    pub workers_up: usize,
+    /// Troubles that are on.
+    pub troubles: Vec<&'static str>,
+}
+
+/// What a day on sockets came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    /// Requests that schedulers took, tries counted one by one.
+    pub taken: u64,
+    /// Answers.
+    pub answered: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests served within the wanted time.
+    pub in_time: u64,
+    /// Requests refused in the end.
+    pub refused: u64,
+    /// Requests failed in the end.
+    pub failed: u64,
+    /// Breaches of the rules.
+    pub breaches: u64,
+    /// Median time to a served answer, in milliseconds.
+    pub p50_ms: f64,
+    /// 99 % of served answers came within this time, in milliseconds.
+    pub p99_ms: f64,
+    /// All figures.
+    pub figures: Figures,
+    /// What the referee saw.
+    pub seen: Seen,
+    /// The first breaches, with their stories.
+    pub first: Vec<Breach>,
+    /// What the troubles did.
+    pub counters: Counters,
+    /// Schedulers that ended by themselves.
+    pub crashes: u64,
+    /// Requests that reached a worker with another path, key or body than their client sent.
+    pub mangled: u64,
+    /// Requests that reached a worker under an id that no client sent.
+    pub strangers: u64,
+    /// Call-backs that a scheduler never answered.
+    pub call_backs_lost: u64,
+    /// Call-backs that were sent before the 202 of their job.
+    pub overtaken: u64,
+    /// Call-backs to a scheduler that started after their job was sent.
+    pub call_backs_to_successor: u64,
+    /// Datagrams between schedulers, and those longer than the platform allows.
+    pub datagrams: u64,
+    /// See `datagrams`.
+    pub datagrams_too_long: u64,
+    /// How late this host was against its own plan, in milliseconds: 99 % and the most.
+    pub lag_p99_ms: f64,
+    /// See `lag_p99_ms`.
+    pub lag_max_ms: f64,
+    /// Length of the run, in seconds.
+    pub length_s: f64,
+}
+
+/// A try as its client sent it.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    pub(crate) class: usize,
+    pub(crate) slots: u32,
+    pub(crate) work: f64,
+    pub(crate) path: String,
+    pub(crate) body: String,
+    pub(crate) key: Option<String>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) crashes: u64,
+    pub(crate) mangled: u64,
+    pub(crate) strangers: u64,
+    pub(crate) lost: u64,
+    pub(crate) overtaken: u64,
+    pub(crate) successor: u64,
+    pub(crate) datagrams: u64,
+    pub(crate) too_long: u64,
+}
+
+/// What all stand-ins share.
+pub(crate) struct Stage {
+    pub(crate) options: Options,
+    pub(crate) world: RefCell<World>,
+    pub(crate) arrivals: RefCell<Arrivals>,
+    pub(crate) collector: RefCell<Collector>,
+    pub(crate) tries: RefCell<FxHashMap<u64, Sent>>,
+    pub(crate) open: Cell<usize>,
+    pub(crate) counts: RefCell<Counts>,
+    pub(crate) lag: RefCell<Histogram<u64>>,
+    pub(crate) agents: Vec<agent::Agent>,
+    pub(crate) schedulers: Vec<schedulers::Scheduler>,
+    pub(crate) words: Vec<workers::Words>,
+    /// Each worker's connections end when its number here changes.
+    pub(crate) resets: Vec<watch::Sender<u64>>,
+    pub(crate) habits: RefCell<Stream>,
+    pub(crate) front: RefCell<Stream>,
+    pub(crate) whims: RefCell<Stream>,
+    pub(crate) delays: RefCell<Stream>,
+    pub(crate) stop: Stop,
+    /// The day is over: schedulers that end stay down.
+    pub(crate) over: Cell<bool>,
+    /// The ids of guests' requests, by their numbers.
+    pub(crate) guests: RefCell<FxHashMap<u64, String>>,
+    /// When the day began; what the start-up takes is no part of it.
+    start: Cell<Option<Instant>>,
+    /// Unix time of the day's begin, in milliseconds.
+    pub(crate) epoch_ms: Cell<u64>,
+    wake: Notify,
+}
+
+impl Stage {
+    /// Nanoseconds since the day began; 0 before it.
+    pub(crate) fn now(&self) -> Nanos {
+        self.start.get().map_or(0, |start| start.elapsed().as_nanos() as Nanos)
+    }
+    fn begin(&self) {
+        self.start.set(Some(Instant::now()));
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.epoch_ms.set(unix.as_millis() as u64);
+    }
+    /// Waits for a moment of the day that has begun.
+    pub(crate) async fn until(&self, at: Nanos) {
+        let start = self.start.get().unwrap_or_else(Instant::now);
+        tokio::time::sleep_until((start + Duration::from_nanos(at)).into()).await;
+        let late = self.now().saturating_sub(at);
+        self.lag.borrow_mut().saturating_record((late / 1000).max(1));
+    }
+    /// Something new may be due in the world.
+    pub(crate) fn stir(&self) {
+        self.wake.notify_one();
+    }
+    pub(crate) fn day(&self) -> Day {
+        self.world.borrow().day.clone()
+    }
+}
+
+/// Plays a day on sockets; `tell` hears of it once a second. The runtime is this call's own.
+pub fn run(
+    day: &Day,
+    seed: u64,
+    options: Options,
+    stop: Stop,
+    tell: &mut dyn FnMut(&Live),
+) -> io::Result<Played> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, play(day.clone(), seed, options, stop, tell))
+}
+
+async fn play(
+    day: Day,
+    seed: u64,
+    options: Options,
+    stop: Stop,
+    tell: &mut dyn FnMut(&Live),
+) -> io::Result<Played> {
+    let slack = options.slack.as_nanos() as Nanos;
+    let world = World::new(day.clone(), seed, slack);
+    let streams = world.streams();
+    let arrivals = Arrivals::new(&day, &streams, world.capacity());
+    let files = tempfile::tempdir()?;
+    let (count, workers) = (day.schedulers.count, day.fleet.workers);
+    let posts = workers::open(count, workers).await?;
+    let (agents, agent_listeners) = agent::open(count).await?;
+    let links = peers::open(count).await?;
+    let schedulers = schedulers::prepare(files.path(), count, &links).await?;
+    let (words, queues): (Vec<_>, Vec<_>) = (0..count * workers).map(|_| workers::words()).unzip();
+    let stage = Rc::new(Stage {
+        collector: RefCell::new(Collector::new(&day)),
+        tries: RefCell::default(),
+        open: Cell::new(0),
+        counts: RefCell::default(),
+        lag: RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other)?),
+        agents,
+        schedulers,
+        words,
+        resets: (0..workers).map(|_| watch::channel(0).0).collect(),
+        habits: RefCell::new(streams.named("retries")),
+        front: RefCell::new(streams.named("front")),
+        whims: RefCell::new(streams.named("whims")),
+        delays: RefCell::new(streams.named("datagrams")),
+        stop,
+        over: Cell::new(false),
+        guests: RefCell::default(),
+        start: Cell::new(None),
+        epoch_ms: Cell::new(0),
+        wake: Notify::new(),
+        arrivals: RefCell::new(arrivals),
+        world: RefCell::new(world),
+        options,
+    });
+    workers::start(&stage, posts, queues);
+    agent::start(&stage, agent_listeners);
+    peers::start(&stage, links);
+    for s in 0..count {
+        schedulers::start(&stage, s).await?;
+    }
+    schedulers::ready(&stage).await?;
+    stage.begin();
+    let driver = spawn_local(drive(Rc::clone(&stage)));
+    let feeder = spawn_local(clients::feed(Rc::clone(&stage)));
+    let end = secs(day.seconds);
+    let longest = day.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let last = end + secs(longest / 1e3) + slack + secs(2.0);
+    let mut second = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let now = stage.now();
+        if now / 1_000_000_000 > second {
+            second = now / 1_000_000_000;
+            tell(&live(&stage, second, now));
+        }
+        let over = feeder.is_finished() && stage.open.get() == 0;
+        if over || now > last {
+            break;
+        }
+    }
+    driver.abort();
+    schedulers::finish(&stage).await;
+    stage.world.borrow_mut().referee.finish(stage.now());
+    Ok(played(&stage))
+}
+
+fn live(stage: &Stage, second: u64, at: Nanos) -> Live {
+    let world = stage.world.borrow();
+    let at = at as f64 / 1e9;
+    let on = |t: &&loomlb_model::day::Trouble| at >= t.at_s && at < t.at_s + t.for_s.max(1.0);
+    Live {
+        second,
+        listen: stage.schedulers.iter().map(|s| s.listen.to_string()).collect(),
+        figures: stage.collector.borrow().figures(),
+        seen: world.referee.seen,
+        breaches: world.referee.count,
+        workers_up: (0..world.workers()).filter(|w| !world.silent(*w) && !world.down(*w)).count(),
+        troubles: world.day.troubles.iter().filter(on).map(|t| t.kind.name()).collect(),
+    }
+}
+
+fn played(stage: &Stage) -> Played {
+    let world = stage.world.borrow();
+    let (figures, counts, lag) =
+        (stage.collector.borrow().figures(), stage.counts.borrow(), stage.lag.borrow());
+    let arrivals = stage.arrivals.borrow();
+    let mut counters = world.counters.clone();
+    (counters.burst, counters.heavy, counters.slow_readers) = (arrivals.burst, arrivals.heavy, arrivals.slow);
+    Played {
+        taken: world.referee.seen.taken,
+        answered: world.referee.seen.answered,
+        served: figures.served,
+        in_time: figures.in_time,
+        refused: figures.refused,
+        failed: figures.failed + figures.unreachable,
+        breaches: world.referee.count,
+        p50_ms: figures.p50_ms,
+        p99_ms: figures.p99_ms,
+        seen: world.referee.seen,
+        first: world.referee.breaches.clone(),
+        counters,
+        crashes: counts.crashes,
+        mangled: counts.mangled,
+        strangers: counts.strangers,
+        call_backs_lost: counts.lost,
+        overtaken: counts.overtaken,
+        call_backs_to_successor: counts.successor,
+        datagrams: counts.datagrams,
+        datagrams_too_long: counts.too_long,
+        lag_p99_ms: lag.value_at_quantile(0.99) as f64 / 1e3,
+        lag_max_ms: lag.max() as f64 / 1e3,
+        length_s: stage.now() as f64 / 1e9,
+        figures,
+    }
+}
+
+/// Carries out what the world wants done, when it is due.
+async fn drive(stage: Rc<Stage>) {
+    loop {
+        let now = stage.now();
+        loop {
+            let deed = stage.world.borrow_mut().turn(now);
+            match deed {
+                Some(deed) => carry_out(&stage, deed),
+                None => break,
+            }
+        }
+        // Something measures or changes in every second of a day; without that a minute is as good.
+        let next = stage.world.borrow().next().unwrap_or(now + 60_000_000_000);
+        tokio::select! {
+            () = stage.until(next) => {}
+            () = stage.wake.notified() => {}
+        }
+    }
+}
+
+fn carry_out(stage: &Rc<Stage>, deed: Deed) {
+    match deed {
+        Deed::Word { job, worker, scheduler, request, word, report } => {
+            workers::say(stage, worker, scheduler, request, job, word, report);
+        }
+        Deed::List { scheduler, .. } => stage.agents[scheduler].news.notify_waiters(),
+        Deed::Signal(s, signal) => schedulers::signal(stage, s, signal),
+        Deed::Reset(w) => stage.resets[w].send_modify(|n| *n += 1),
+    }
+}
+
+/// Whether the run was late by more than a scheduler can be judged by.
+impl Played {
+    /// The machine was too slow for the day, so figures say little.
+    pub fn late(&self) -> bool {
+        self.lag_p99_ms * 1e6 > LATE as f64
+    }
+}
+
+/// A request's worker and class as the clients think of it.
+pub(crate) fn sent(day: &Day, request: &Request) -> Sent {
+    let class = &day.classes[request.class];
+    let key = (class.effect == loomlb_model::day::Effect::Keyed).then(|| format!("key-{:x}", request.number));
+    Sent {
+        class: request.class,
+        slots: request.slots,
+        work: request.work,
+        path: format!("/{}/subject-{}", class.name, request.subject),
+        body: format!("petition {} of {}", request.number, class.name),
+        key,
+    }
+}
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -10,6 +10,7 @@
     };
 }
 shipped![
+    "demo",
     "calm",
     "vanish",
     "fast_errors",
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -22,6 +22,42 @@
     out
 }
 
+/// The figures of a day on sockets.
+pub fn emulated(day: &Day, seed: u64, p: &loomlb_emulator::Played) -> String {
+    let row = |a: &str, b: String| vec![a.to_string(), b];
+    let mut rows = vec![
+        row("taken", p.taken.to_string()),
+        row("answered", p.answered.to_string()),
+        row("requests", p.figures.requests.to_string()),
+        row("served", p.served.to_string()),
+        row("served in time", p.in_time.to_string()),
+        row("refused", p.refused.to_string()),
+        row("failed", p.failed.to_string()),
+        row("left early", p.figures.left.to_string()),
+        row("attempts", p.seen.attempts.to_string()),
+        row("p50", format!("{:.1} ms", p.p50_ms)),
+        row("p99", format!("{:.1} ms", p.p99_ms)),
+        row("service", format!("{:.3}", p.figures.service)),
+        row("service, worst 10 s", format!("{:.3}", p.figures.worst_window)),
+    ];
+    for t in &day.troubles {
+        rows.push(row(&format!("trouble {}", t.kind.name()), p.counters.of(t.kind).to_string()));
+    }
+    rows.push(row("call-backs before their 202", p.overtaken.to_string()));
+    rows.push(row("call-backs to a successor", p.call_backs_to_successor.to_string()));
+    rows.push(row("crashes", p.crashes.to_string()));
+    rows.push(row("this host late by, p99", format!("{:.1} ms", p.lag_p99_ms)));
+    rows.push(row("breaches", p.breaches.to_string()));
+    let mut out = format!("{} (seed {seed}) on sockets, {:.1} s\n{}", day.name, p.length_s, columns(&rows));
+    if p.late() {
+        out += "this machine was too slow for the day: its figures say little\n";
+    }
+    if let Some(first) = p.first.first() {
+        out += &format!("first breach: {first}");
+    }
+    out
+}
+
 /// The figures of a day in virtual time.
 pub fn played(day: &Day, seed: u64, p: &Played) -> String {
     let f = &p.figures;
--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -114,6 +114,7 @@
     Started { worker: usize },
     Ended { worker: usize, ended: Ended },
     Answered { kind: &'static str },
+    Broke { scheduler: usize },
     ClientLeft,
 }
 
@@ -132,6 +133,9 @@
                 write!(f, "ended at worker {worker}, may have run")
             }
             Fact::Answered { kind } => write!(f, "answered: {kind}"),
+            Fact::Broke { scheduler } => {
+                write!(f, "its connection to scheduler {scheduler} ended without an answer")
+            }
             Fact::ClientLeft => write!(f, "its client left"),
         }
     }
@@ -423,6 +427,26 @@
         self.tidy(request);
     }
 
+    /// A request that is none of the day's clients': its attempts are followed, and no answer is owed.
+    pub fn guest(&mut self, request: u64, class: usize) {
+        let story = self.open.entry(request).or_default();
+        (story.class, story.void) = (class, true);
+    }
+
+    /// A client's connection ended without an answer. A scheduler that was killed owes none; one that runs has lost
+    /// the request, and that shows at the end of the day.
+    pub fn unread(&mut self, at: Nanos, request: u64, scheduler: usize) {
+        self.fact(request, at, Fact::Broke { scheduler });
+    }
+
+    /// A kept connection was closed while a request crossed that on its way, and there was no second one: it was
+    /// never taken.
+    pub fn crossed(&mut self, at: Nanos, request: u64) {
+        self.seen.void += 1;
+        self.fact(request, at, Fact::ClientLeft).void = true;
+        self.tidy(request);
+    }
+
     /// A client has left before its answer: nothing is owed any more.
     pub fn left(&mut self, at: Nanos, request: u64) {
         if self.open.get(&request).is_some_and(|s| !s.answered) {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -706,6 +706,18 @@
         again
     }
 
+    /// A scheduler gives up a request at a worker.
+    pub fn give_up_request(&mut self, now: Nanos, w: usize, request: u64) {
+        let mut jobs: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, o)| o.worker == w && o.request == request)
+            .map(|(j, _)| *j)
+            .collect();
+        jobs.sort_unstable();
+        jobs.into_iter().for_each(|job| self.give_up(now, job));
+    }
+
     /// A scheduler gives a job up.
     pub fn give_up(&mut self, now: Nanos, job: u64) {
         let Some(out) = self.jobs.get(&job) else { return };
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -85,11 +85,20 @@
     let remaining = s.shutdown.answer_by().map_or(patience, |by| patience.min(by.saturating_sub(now)));
     let deadline = now.saturating_add(remaining);
     let (reply, answer) = oneshot::channel();
+    let correlation = offer.work.correlation.clone();
     let work = Rc::new(offer.work);
     let id = book.open(Flow { work, deadline, reply: Some(reply), forwards: Vec::new() });
     drop(book);
     // A tick later than the last time-out, whose news lets the module answer by itself.
     s.wheel.set(deadline.saturating_add(s.config.settings.tick), Due::Deadline(id));
+    let flow = id.0;
+    tracing::debug!(
+        flow,
+        id = %String::from_utf8_lossy(&correlation),
+        class = offer.class,
+        tenant = offer.tenant.as_deref().unwrap_or(""),
+        "taken"
+    );
     let tenant = offer.tenant.and_then(|name| s.config.names.tenants.iter().position(|t| *t == name));
     let request = Request {
         id,
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -121,17 +121,17 @@
             "left" => WorkerState::Gone,
             "leaving" => WorkerState::Draining,
             other => {
-                log::warn!("discovery: {}: unknown health {other:?}, taken as leaving", host.host);
+                tracing::warn!("discovery: {}: unknown health {other:?}, taken as leaving", host.host);
                 WorkerState::Draining
             }
         };
         let known = targets.get(&id);
         if known.is_some_and(|t| *t.host != *host.host) {
-            log::error!("discovery: {}: shares its number with another target, left out", host.host);
+            tracing::error!("discovery: {}: shares its number with another target, left out", host.host);
             continue;
         }
         let Some(dial) = host.dial.parse().ok().or(known.map(|t| t.dial)) else {
-            log::error!("discovery: {}: dial {:?} is no address, left out", host.host, host.dial);
+            tracing::error!("discovery: {}: dial {:?} is no address, left out", host.host, host.dial);
             continue;
         };
         let started = from_unix_ms(host.born_ms);
@@ -158,7 +158,7 @@
     let known = match &s.config.known {
         serde_json::Value::Null => List::default(),
         known => List::deserialize(known).unwrap_or_else(|e| {
-            log::error!("configuration: known: {e}; starting without targets");
+            tracing::error!("configuration: known: {e}; starting without targets");
             List::default()
         }),
     };
@@ -188,7 +188,7 @@
             }
         };
         s.book.borrow_mut().counters.list_faults += 1;
-        log::warn!("discovery: {fault}; the last list stays");
+        tracing::warn!("discovery: {fault}; the last list stays");
         if s.config.settings.ask_for_list {
             route::feed(&s, Event::ListFailed);
         }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -148,7 +148,7 @@
                 s.book.borrow_mut().counters.accept_faults += 1;
                 // One line for a run of them: they come as fast as the pause allows.
                 if !std::mem::replace(&mut failing, true) {
-                    log::warn!("accept: {e}");
+                    tracing::warn!("accept: {e}");
                 }
                 s.listener.evict(s.clock.now());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -255,7 +255,7 @@
     };
     let path = path.split('?').next().unwrap_or_default();
     let method = &*message.method;
-    log::trace!("{} {path}", String::from_utf8_lossy(method));
+    tracing::trace!("{} {path}", String::from_utf8_lossy(method));
     match path {
         HEALTH if method != b"GET" => return Some(Reply::plain(405, "only GET is served here")),
         HEALTH if s.shutdown.begun() => return Some(Reply::plain(503, "ending")),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -84,7 +84,7 @@
     // Before anyone can know that it serves: a signal that nobody has taken over ends the program.
     reload::start(&s)?;
     let signals = shutdown::Signals::new()?;
-    log::info!("{} serves at {}", s.config.name, listener.local_addr()?);
+    tracing::info!("{} serves at {}", s.config.name, listener.local_addr()?);
     discovery::start(&s);
     send::sweep(&s);
     spawn_local(wheel::turn(Rc::clone(&s)));
@@ -92,7 +92,7 @@
     spawn_local(peers::listen(Rc::clone(&s)));
     spawn_local(intake::accept(Rc::clone(&s), listener));
     shutdown::wait(&s, signals).await;
-    log::info!("counters: {}", s.book.borrow().counters);
+    tracing::info!("counters: {}", s.book.borrow().counters);
     Ok(())
 }
 
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -12,6 +12,12 @@
 pub fn answer(s: &Rc<Scheduler>, id: RequestId, answer: Answer) -> bool {
     let mut book = s.book.borrow_mut();
     let Some(reply) = book.settle(id) else { return false };
+    let said = match answer {
+        Answer::Served(_) => "served",
+        Answer::Refused(_) => "refused",
+        Answer::Failed => "failed",
+    };
+    tracing::debug!(flow = id.0, answer = said, "answered");
     match answer {
         Answer::Served(_) => book.counters.served += 1,
         Answer::Refused(_) => book.counters.refused += 1,
@@ -48,6 +54,7 @@
     let Some(forward) = book.forward(id, n).filter(|f| f.stage != Stage::Ended) else { return };
     forward.stage = Stage::Ended;
     let latency = s.clock.now().saturating_sub(forward.opened);
+    tracing::debug!(flow = id.0, target = &*forward.host, attempt = n, outcome = ?outcome, latency_us = latency / 1000, "ended");
     let closed = book.flow(id).is_none_or(|f| f.reply.is_none());
     book.counters.outcome(outcome);
     book.tidy(id);
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -16,9 +16,9 @@
             match s.config.reload() {
                 Ok(fresh) => {
                     s.book.borrow_mut().counters.reloads += 1;
-                    log::info!("configuration reloaded: discovery: {}", fresh.discovery);
+                    tracing::info!("configuration reloaded: discovery: {}", fresh.discovery);
                     if !fresh.postponed.is_empty() {
-                        log::warn!(
+                        tracing::warn!(
                             "configuration: {}: changed, read at the next start",
                             fresh.postponed.join(", ")
                         );
@@ -27,7 +27,7 @@
                 }
                 Err(e) => {
                     s.book.borrow_mut().counters.reload_faults += 1;
-                    log::error!("configuration: {e}; the old one stays");
+                    tracing::error!("configuration: {e}; the old one stays");
                 }
             }
         }
--- a/crates/scheduler/src/route.rs
+++ b/crates/scheduler/src/route.rs
@@ -38,7 +38,7 @@
         let handled = catch_unwind(AssertUnwindSafe(|| module.handle(s.clock.now(), event, &mut actions)));
         drop(module);
         if handled.is_err() {
-            log::error!("the decision module panicked");
+            tracing::error!("the decision module panicked");
             s.book.borrow_mut().counters.panics += 1;
         }
         actions.drain(..).for_each(|action| act(s, action));
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -126,7 +126,7 @@
         return Some(link);
     }
     if !s.pool.make_room() {
-        log::warn!("no descriptor left for a connection to {}", target.host);
+        tracing::warn!("no descriptor left for a connection to {}", target.host);
         return None;
     }
     s.book.borrow_mut().counters.dials += 1;
@@ -148,7 +148,7 @@
     let target = s.group.target(to);
     let mut book = s.book.borrow_mut();
     let Some(flow) = book.flow(id) else {
-        return log::error!("the module sends a flow that is over");
+        return tracing::error!("the module sends a flow that is over");
     };
     let n = flow.forwards.len() as u32;
     let over = flow.reply.is_none() || n >= s.config.settings.limits.max_attempts.max(1);
@@ -171,6 +171,7 @@
     let Some(target) = target.filter(|_| !over) else {
         return relay::ended(s, id, n, Outcome::NotSent, None);
     };
+    tracing::debug!(flow = id.0, target = &*target.host, attempt = n, "forwarded");
     s.wheel.set(until, Due::Forward(id, n));
     let one = One { s: Rc::clone(s), id, n, to, until };
     let task = tokio::task::spawn_local(async move {
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -82,12 +82,12 @@
         tokio::select! {
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
-            _ = signals.report.recv() => log::info!("counters: {}", s.book.borrow().counters),
+            _ = signals.report.recv() => tracing::info!("counters: {}", s.book.borrow().counters),
         }
     }
     let now = s.clock.now();
     s.shutdown.since.set(Some(now));
-    log::info!("asked to end, {} flows to finish", s.book.borrow().owed());
+    tracing::info!("asked to end, {} flows to finish", s.book.borrow().owed());
     tokio::time::sleep_until(s.clock.instant(s.shutdown.closing().unwrap_or(now))).await;
     loop {
         s.shutdown.close_idle.notify_waiters();
