--- a/crates/emulator/src/schedulers.rs
+++ b/crates/emulator/src/schedulers.rs
@@ -4,6 +4,7 @@
 use crate::stage::Stage;
 use crate::{agent, wire};
 use loomlb_decide::Nanos;
+use loomlb_model::referee::End;
 use loomlb_model::settings;
 use loomlb_model::world::{Signal, ms};
 use rustix::process::{Pid, Signal as Unix, kill_process};
@@ -41,6 +42,9 @@
     /// It was asked to end, or killed.
     ending: Cell<bool>,
     orderly: Cell<bool>,
+    /// When it was asked to end, if it was killed because it took too long.
+    asked: Cell<Nanos>,
+    overran: Cell<bool>,
     pid: Cell<Option<u32>>,
     file: PathBuf,
     peer_listen: SocketAddr,
@@ -59,6 +63,8 @@
             seen_until: Cell::new(0),
             ending: Cell::new(false),
             orderly: Cell::new(false),
+            asked: Cell::new(0),
+            overran: Cell::new(false),
             pid: Cell::new(None),
             file: files.join(format!("scheduler-{s}.json")),
             peer_listen: links.listen[s],
@@ -111,6 +117,7 @@
     me.run.set(me.run.get() + 1);
     me.ending.set(false);
     me.orderly.set(false);
+    me.overran.set(false);
     spawn_local(watch(Rc::clone(stage), s, child));
     Ok(())
 }
@@ -148,7 +155,7 @@
     let me = &stage.schedulers[s];
     me.pid.set(None);
     let orderly = me.orderly.get() && ended.as_ref().is_ok_and(|e| e.success());
-    if !me.ending.get() || (me.orderly.get() && !orderly) {
+    if !me.ending.get() || (me.orderly.get() && !orderly && !me.overran.get()) {
         stage.counts.borrow_mut().crashes += 1;
     }
     // What is on the way to its clients still gets there.
@@ -159,7 +166,12 @@
         ms(stage.front.borrow_mut().within(world.day.schedulers.notice_ms))
     };
     me.seen_until.set(me.seen_until.get().min(now + notice));
-    stage.world.borrow_mut().referee.scheduler_ended(now, s, me.orderly.get());
+    let end = match (me.orderly.get(), me.overran.get()) {
+        (true, true) => End::Overran(me.asked.get()),
+        (true, false) => End::ByItself,
+        (false, _) => End::Killed,
+    };
+    stage.world.borrow_mut().referee.scheduler_ended(now, s, end);
     stage.world.borrow_mut().forget_scheduler(now, s);
     if stage.over.get() {
         return;
@@ -205,6 +217,7 @@
         return;
     }
     me.orderly.set(true);
+    me.asked.set(stage.now());
     me.seen_until.set(stage.now() + STILL);
     send(stage, s, Unix::TERM);
     let longest = stage.world.borrow().day.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
@@ -212,7 +225,9 @@
     let (stage, run) = (Rc::clone(stage), me.run.get());
     spawn_local(async move {
         tokio::time::sleep(limit).await;
-        if stage.schedulers[s].run.get() == run {
+        let me = &stage.schedulers[s];
+        if me.run.get() == run && me.pid.get().is_some() {
+            me.overran.set(true);
             send(&stage, s, Unix::KILL);
         }
     });
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -13,6 +13,7 @@
     "demo",
     "calm",
     "vanish",
+    "crash",
     "fast_errors",
     "pauses",
     "report_late",
@@ -28,6 +29,7 @@
     "slow_reader",
     "stuck_connection",
     "all",
+    "every",
     "large",
     "huge",
 ];
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,91 @@
+//! The days that ship, in virtual time.
+
+use loomlb_lab::baselines::{Baseline, Idea};
+use loomlb_lab::days::SHIPPED;
+use loomlb_model::simulate::{self, Decider, Played};
+use loomlb_model::{Day, TroubleKind};
+use std::process::Command;
+
+fn day(name: &str) -> Day {
+    Day::read(SHIPPED.iter().find(|d| d.0 == name).unwrap().1).unwrap()
+}
+
+/// Each day is read, its troubles do what their names say by the model's own count, and the module breaks no rule.
+#[test]
+fn each_day_that_ships_does_what_it_says_without_a_breach() {
+    let mut kinds = Vec::new();
+    for (name, text) in SHIPPED.iter().filter(|d| d.0 != "huge") {
+        let mut day = Day::read(text).unwrap_or_else(|e| panic!("{name}: {e}"));
+        assert_eq!(&day.name, name);
+        if *name == "large" {
+            // A debug build plays a tenth of it, in size and in time.
+            (day.fleet.workers, day.seconds, day.troubles[0].at_s) = (100, 6.0, 2.0);
+        }
+        let played = simulate::run(&day, 11, 2);
+        let stories: Vec<String> = played.first.iter().map(ToString::to_string).collect();
+        assert_eq!(played.breaches, 0, "{name}: {}", stories.join("\n"));
+        assert_eq!(played.seen.taken, played.seen.answered + played.seen.void, "{name}");
+        for t in &day.troubles {
+            assert!(played.counters.of(t.kind) > 0, "{name}: {} did nothing", t.kind.name());
+            kinds.push(t.kind);
+        }
+        assert!(played.figures.service > 0.4, "{name}: {:?}", played.figures);
+    }
+    assert!(TroubleKind::ALL.iter().all(|k| kinds.contains(k)));
+}
+
+/// One seed is one day: with any number of threads, in another process with other hash seeds, and not with another
+/// seed.
+#[test]
+fn a_seed_gives_one_digest_whatever_the_threads_or_the_process() {
+    let day = day("every");
+    let digest = |seed, threads| simulate::run(&day, seed, threads).digest;
+    let first = digest(4, 1);
+    assert_eq!((digest(4, 2), digest(4, 4)), (first.clone(), first.clone()));
+    assert_ne!(digest(5, 1), first);
+    let out = Command::new(env!("CARGO_BIN_EXE_loomlb-lab"))
+        .args(["simulate", "every", "--seed", "4", "--threads", "3", "--json"])
+        .output()
+        .unwrap();
+    let said: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    assert_eq!((out.status.code(), said["digest"].as_str()), (Some(0), Some(&*first)));
+}
+
+/// The order that theory and the module's makers expect on a calm day.
+#[test]
+fn the_module_beats_textbook_policies_on_a_calm_day() {
+    let day = day("calm");
+    let with = |idea: Idea| {
+        let make = move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
+        let played: Played = simulate::run_with(&day, 3, 0, &make);
+        assert_eq!(played.breaches, 0, "{idea:?}");
+        played.figures.service
+    };
+    let [random, round, least, two] = Idea::ALL.map(|(_, idea)| with(idea));
+    let module = simulate::run(&day, 3, 0).figures.service;
+    assert!(
+        module > two && two > random && least > two && round > random,
+        "{module} {least} {two} {round} {random}"
+    );
+}
+
+/// What a user gets wrong is said with its line, and the exit status is 2.
+#[test]
+fn faults_of_a_user_are_named_and_end_with_status_2() {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), "name = \"d\"\nseconds = 5\n[fleet]\nworkers = 0\n[load]\npart = 0.5\n")
+        .unwrap();
+    let run = |args: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_loomlb-lab")).args(args).output().unwrap();
+        (out.status.code(), String::from_utf8(out.stderr).unwrap())
+    };
+    let (code, said) = run(&["simulate", file.path().to_str().unwrap()]);
+    assert!(
+        code == Some(2) && said.contains("line 4: fleet.workers: a fleet has 1 to 100000 workers"),
+        "{said}"
+    );
+    let (code, said) = run(&["emulate", "no-such-day"]);
+    assert!(code == Some(2) && said.contains("no day of that name ships"), "{said}");
+    let (code, said) = run(&["demo", "--seconds=-3"]);
+    assert!(code == Some(2) && said.contains("seconds"), "{said}");
+}
--- /dev/null
+++ b/crates/model/tests/day.rs
@@ -0,0 +1,60 @@
+//! A day file that asks for the impossible is refused with its line and a reason.
+
+use loomlb_decide::boot::BootInfo;
+use loomlb_model::Day;
+use loomlb_model::settings;
+
+const GOOD: &str = "name = \"d\"\nseconds = 10\n\n[fleet]\nworkers = 4\n\n[load]\npart = 0.5\n";
+
+#[test]
+fn a_faulty_day_is_named_by_line_key_and_reason() {
+    assert!(Day::read(GOOD).is_ok());
+    let cases = [
+        ("workers = 4", "workers = 0", "line 5: fleet.workers: a fleet has 1 to 100000 workers"),
+        ("workers = 4", "workers = -4", "line 5: invalid value: integer `-4`, expected usize"),
+        ("workers = 4", "workers = \"four\"", "line 5: invalid type: string \"four\", expected usize"),
+        ("part = 0.5", "rate_per_s = -3.0", "line 8: load.rate_per_s: a rate is above 0 and at most 1e7"),
+        ("part = 0.5", "", "line 7: load: one of `part` and `rate_per_s` is needed"),
+        (
+            "part = 0.5",
+            "part = 0.5\nrate_per_s = 5",
+            "line 9: load.rate_per_s: `part` is given as well; leave one of them out",
+        ),
+        ("seconds = 10", "seconds = nan", "line 2: seconds: a day takes more than 0 and at most 86400 s"),
+        (
+            "part = 0.5",
+            "part = 0.5\n[[trouble]]\nkind = \"flood\"\nat_s = 1",
+            "line 10: unknown variant `flood`",
+        ),
+        (
+            "part = 0.5",
+            "part = 0.5\n[[trouble]]\nkind = \"burst\"\nat_s = 11",
+            "line 11: trouble[0].at_s: it begins within the day",
+        ),
+        ("part = 0.5", "part = 0.5\ncolour = 1", "line 9: unknown field `colour`"),
+        ("part = 0.5", "part = 0.5\n[network]\njitter = -1", "line 10: network.jitter: 0 or more is needed"),
+        ("[load]", "[load", "line 7: unclosed table, expected `]`"),
+        (
+            "part = 0.5",
+            "part = 0.5\n[[class]]\nname = \"a\"\nwork_ms = 0\naim_ms = 5\ndeadline_ms = 9\neffect = \"safe\"",
+            "line 11: class[0].work_ms: work is above 0",
+        ),
+    ];
+    for (old, new, wanted) in cases {
+        let said = Day::read(&GOOD.replace(old, new)).unwrap_err().to_string();
+        assert!(said.starts_with(wanted), "{new:?}: {said}");
+    }
+}
+
+/// The settings are made as words and read by the one parser that the scheduler uses: nothing gets lost between.
+#[test]
+fn the_words_of_a_day_are_the_settings_that_the_module_reads() {
+    let day = Day::read(&format!("{GOOD}[[tenant]]\nname = \"t\"\nshare = 1\n")).unwrap();
+    assert!(serde_json::from_value::<BootInfo>(settings::words(&day, 0, &[9.0])).is_ok());
+    let (set, names) = settings::settings(&day, 0, &[9.0]);
+    assert_eq!((set.classes.len(), set.tenants.len(), set.kinds, set.dispatchers), (3, 1, 2, 1));
+    assert_eq!(names.classes, ["view", "sign", "lodge"]);
+    assert_eq!(set.tenants[0].quota_per_s, 9.0);
+    assert!(set.limits.cancel && set.limits.probes && set.limits.max_attempts == 4 && set.tells_start);
+    assert_eq!((set.rules.fall_multiple, set.rules.cold), (2.5, 18_000_000_000));
+}
--- /dev/null
+++ b/crates/model/tests/referee.rs
@@ -0,0 +1,219 @@
+//! Each rule of the referee is able to fail: a scheduler with one fault is caught by the rule it breaks.
+
+use loomlb_decide::{
+    Action, CellId, Effect, Ended, Event, ListKind, Nanos, Outcome, Request, RequestId, Settings, Worker,
+    WorkerId, WorkerState,
+};
+use loomlb_model::referee::{Answered, End, Ended as HowEnded, Referee, Rule};
+use loomlb_model::simulate::{self, Decider};
+use loomlb_model::{Day, TroubleKind};
+use std::collections::BTreeMap;
+
+/// The one fault of a scheduler; without it the same scheduler breaks no rule.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    ForgetsRequests,
+    AnswersLate,
+    RepeatsUnsafe,
+    RepeatsAcrossCells,
+    SendsTwoCopies,
+    RefusesWhatRan,
+    IgnoresDrains,
+    PoursOnColdWorkers,
+}
+
+/// A plain scheduler: each job once, to the next usable worker; what fails is failed.
+struct Plain {
+    fault: Fault,
+    set: Settings,
+    workers: BTreeMap<WorkerId, Worker>,
+    /// Each job with the cells it was sent to and its deadline.
+    jobs: BTreeMap<RequestId, (Request, Vec<(WorkerId, CellId)>)>,
+    turn: usize,
+    now: Nanos,
+}
+
+impl Plain {
+    fn send(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let (fault, now, cold) = (self.fault, self.now, self.set.rules.cold);
+        let Some((request, sent)) = self.jobs.get_mut(&id) else { return };
+        let is_cold = |w: &Worker| w.started > 0 && now < w.started + cold;
+        let fresh = self.workers.values().filter(|w| sent.iter().all(|s| s.0 != w.id));
+        let usable: Vec<&Worker> = match fault {
+            Fault::PoursOnColdWorkers if self.workers.values().any(is_cold) => {
+                self.workers.values().filter(|w| is_cold(w)).collect()
+            }
+            Fault::RepeatsAcrossCells => fresh.filter(|w| sent.iter().all(|s| s.1 != w.cell)).collect(),
+            _ => fresh.filter(|w| !is_cold(w)).collect(),
+        };
+        if usable.is_empty() {
+            self.jobs.remove(&id);
+            return out.push(Action::Fail(id));
+        }
+        self.turn += 1;
+        let to = usable[self.turn % usable.len()];
+        sent.push((to.id, to.cell));
+        out.push(Action::Send { id, worker: to.id, timeout: request.remaining.min(4_000_000_000) });
+    }
+
+    fn ended(&mut self, id: RequestId, ended: Ended, out: &mut Vec<Action>) {
+        let Some((request, sent)) = self.jobs.get(&id) else { return };
+        if ended.closed || ended.outcome == Outcome::Served {
+            self.jobs.remove(&id);
+            return;
+        }
+        let effect = self.set.classes[request.class.0].effect;
+        let again = ended.outcome == Outcome::Full
+            || match self.fault {
+                Fault::RepeatsUnsafe => effect == Effect::Unsafe,
+                Fault::RepeatsAcrossCells => matches!(effect, Effect::Keyed(_)),
+                _ => false,
+            };
+        if again && sent.len() < self.set.limits.max_attempts as usize {
+            return self.send(id, out);
+        }
+        let refuses = self.fault == Fault::RefusesWhatRan || ended.outcome.never_ran();
+        self.jobs.remove(&id);
+        out.push(if refuses { Action::Refuse { id, retry_after: 0 } } else { Action::Fail(id) });
+    }
+}
+
+impl Decider for Plain {
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Workers { kind, entries } => {
+                for e in entries {
+                    let known = self.workers.contains_key(&e.id);
+                    if e.state == WorkerState::Ready {
+                        self.workers.insert(e.id, e);
+                    } else if self.fault != Fault::IgnoresDrains || !known || kind != ListKind::Partial {
+                        self.workers.remove(&e.id);
+                    }
+                }
+            }
+            Event::Request(request) => {
+                let (id, remaining) = (request.id, request.remaining);
+                let forgets = self.fault == Fault::ForgetsRequests && id.0 % 7 == 0;
+                if self.fault == Fault::AnswersLate {
+                    return out.push(Action::Timer { after: remaining + 300_000_000, token: id.0 });
+                }
+                if !forgets {
+                    self.jobs.insert(id, (request, Vec::new()));
+                    self.send(id, out);
+                    if self.fault == Fault::SendsTwoCopies {
+                        self.send(id, out);
+                    }
+                }
+            }
+            Event::Timer(id) => out.push(Action::Fail(RequestId(id))),
+            Event::Ended { id, ended, .. } => self.ended(id, ended, out),
+            Event::Gone(id) => {
+                self.jobs.remove(&id);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn day(troubles: &str) -> Day {
+    let text = format!(
+        "name = \"faults\"\nseconds = 12\n[fleet]\nworkers = 12\ncell_size = 4\n[schedulers]\ncount = 2\nrestart_ms = 300\n\
+         [load]\npart = 0.4\n[discovery]\nnotice_ms = [100, 300]\n[terms]\nsecond_copies = false\n{troubles}"
+    );
+    Day::read(&text).unwrap()
+}
+
+const TROUBLES: &str = "[[trouble]]\nkind = \"fast_errors\"\nat_s = 1\nfor_s = 6\npart = 0.4\n\
+    [[trouble]]\nkind = \"drain\"\nat_s = 2\nfor_s = 5\npart = 0.2\n";
+const END: &str = "[[trouble]]\nkind = \"scheduler_term\"\nat_s = 5\n";
+
+fn caught(fault: Fault, troubles: &str) -> Vec<Rule> {
+    let make = move |set: Settings, _: u64| -> Box<dyn Decider> {
+        Box::new(Plain { fault, set, workers: BTreeMap::new(), jobs: BTreeMap::new(), turn: 0, now: 0 })
+    };
+    let played = simulate::run_with(&day(troubles), 5, 0, &make);
+    let mut rules: Vec<Rule> = played.first.iter().map(|b| b.rule).collect();
+    rules.sort();
+    rules.dedup();
+    for b in &played.first {
+        assert!(b.rule == Rule::ColdWorker || !b.story.is_empty(), "no story: {b}");
+    }
+    rules
+}
+
+#[test]
+fn a_scheduler_with_one_fault_is_caught_by_the_rule_that_it_breaks() {
+    let both = format!("{TROUBLES}{END}");
+    assert_eq!(caught(Fault::None, &both), []);
+    assert_eq!(caught(Fault::ForgetsRequests, ""), [Rule::AnsweredOnce]);
+    assert_eq!(caught(Fault::AnswersLate, ""), [Rule::InTime]);
+    assert_eq!(caught(Fault::RepeatsUnsafe, TROUBLES), [Rule::AtMostOnce]);
+    assert_eq!(caught(Fault::RepeatsAcrossCells, TROUBLES), [Rule::KeyedRepeat]);
+    // Two copies of a job that must run once break two rules.
+    assert!(caught(Fault::SendsTwoCopies, "").contains(&Rule::SecondCopy));
+    assert_eq!(caught(Fault::RefusesWhatRan, TROUBLES), [Rule::HonestRefusal]);
+    assert_eq!(caught(Fault::IgnoresDrains, TROUBLES), [Rule::Drain]);
+    assert_eq!(caught(Fault::PoursOnColdWorkers, TROUBLES), [Rule::ColdWorker]);
+}
+
+/// What the virtual host itself never does, and a host on sockets may see: told to the referee directly.
+#[test]
+fn second_answers_late_repeats_and_made_up_results_are_caught() {
+    let day = day("");
+    let ms = 1_000_000;
+    let seen = |tell: &dyn Fn(&mut Referee)| {
+        let mut referee = Referee::new(&day, 0);
+        referee.taken(0, 1, 0, 1, 5_000 * ms);
+        tell(&mut referee);
+        referee.breaches.iter().map(|b| b.rule).collect::<Vec<_>>()
+    };
+    let served = |r: &mut Referee, result: &str| {
+        r.received(10 * ms, 9 * ms, 1, 3, 0, 7, None);
+        r.started(11 * ms, 1, 3, 7);
+        r.made(1, "result");
+        r.ended(20 * ms, 1, 7, HowEnded::MayHaveRun);
+        r.answered(21 * ms, 1, Answered::Served(result.into()));
+    };
+    assert_eq!(seen(&|r| served(r, "result")), []);
+    assert_eq!(seen(&|r| served(r, "made up")), [Rule::MadeByWorker]);
+    assert_eq!(
+        seen(&|r| {
+            served(r, "result");
+            r.answered(30 * ms, 1, Answered::Failed)
+        }),
+        [Rule::AnsweredOnce]
+    );
+    assert_eq!(seen(&|r| r.answered(30 * ms, 2, Answered::Failed)), [Rule::AnsweredOnce]);
+    // What a scheduler took is lost if it ends by itself, and not if it is killed in its time.
+    let end = |end: End| seen(&move |r| r.scheduler_ended(5_000 * ms, 0, end));
+    assert_eq!(end(End::ByItself), [Rule::NothingLostAtEnd]);
+    assert_eq!(end(End::Killed), []);
+    assert_eq!(end(End::Overran(1_300 * ms)), []);
+    let late = |r: &mut Referee| {
+        r.taken(2_100 * ms, 2, 0, 0, 9_000 * ms);
+        r.scheduler_ended(5_000 * ms, 0, End::Overran(1_300 * ms));
+    };
+    assert_eq!(seen(&late), [Rule::NothingLostAtEnd]);
+    // A repeat within the cell is fine within the window and not after it.
+    let repeat = |after: Nanos| {
+        seen(&move |r| {
+            r.received(10 * ms, 9 * ms, 1, 3, 0, 7, None);
+            r.ended(20 * ms, 1, 7, HowEnded::MayHaveRun);
+            r.received(after + 1, after, 1, 4, 0, 8, None);
+        })
+    };
+    assert_eq!(repeat(7_000 * ms), []);
+    assert_eq!(repeat(7_510 * ms), [Rule::KeyedRepeat]);
+}
+
+/// The counters that tell whether a trouble did what its name says start at nothing.
+#[test]
+fn a_calm_day_moves_no_counter_of_any_trouble() {
+    let played = simulate::run(&day(""), 3, 0);
+    for kind in TroubleKind::ALL {
+        assert_eq!(played.counters.of(kind), 0, "{}", kind.name());
+    }
+    assert_eq!((played.breaches, played.seen.taken > 300), (0, true));
+}
--- /dev/null
+++ b/crates/model/tests/worker.rs
@@ -0,0 +1,127 @@
+//! Invariants of a worker under any order of events (property tests; a failing case is printed and replays).
+
+use loomlb_decide::QueueOrder;
+use loomlb_model::seed::Streams;
+use loomlb_model::worker::{Job, Said, Spec, Worker};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Wait(u64),
+    Offer { slots: u32, work_ms: u32 },
+    Cancel(u64),
+    Pause(u64),
+    Burden(u32),
+    HandBack,
+    Restart,
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let op = prop_oneof![
+        6 => (1u64..400_000_000).prop_map(Op::Wait),
+        8 => (1u32..6, 1u32..300).prop_map(|(slots, work_ms)| Op::Offer { slots, work_ms }),
+        2 => (1u64..60).prop_map(Op::Cancel),
+        1 => (1u64..200_000_000).prop_map(Op::Pause),
+        1 => (1u32..10).prop_map(Op::Burden),
+        1 => Just(Op::HandBack),
+        1 => Just(Op::Restart),
+    ];
+    prop::collection::vec(op, 1..120)
+}
+
+fn spec(order: u8, stops: bool) -> Spec {
+    Spec {
+        cores: 4.0,
+        slots: 5,
+        queue: 12,
+        speed: 0.9,
+        order: [QueueOrder::Fifo, QueueOrder::Backfill, QueueOrder::Priority][order as usize % 3],
+        thrash: 0.1,
+        thrash_at: 2.0,
+        cold_from: 0.2,
+        cold: 2_000_000_000,
+        progress: 50_000_000,
+        cancel_stops_running: stops,
+        connections: 100,
+        fall_multiple: 0.0,
+        fall: 0,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Slots are never negative nor overdrawn, the queue keeps its bound, time never runs backwards, a job starts
+    /// before it ends and ends once, and all work done is in jobs that ended, were dropped, or still run.
+    #[test]
+    fn slots_time_and_work_are_kept(ops in ops(), order in 0u8..3, stops in any::<bool>()) {
+        let mut w = Worker::new(spec(order, stops), 0, 0);
+        let (mut now, mut said, mut next, mut last) = (0, Vec::new(), 0, 0);
+        let mut state: BTreeMap<u64, &str> = BTreeMap::new();
+        for op in ops {
+            match op {
+                Op::Wait(t) => now += t,
+                Op::Offer { slots, work_ms } => {
+                    next += 1;
+                    let (held, waiting) = (w.held(), w.queued());
+                    let job = Job { id: next, slots, work: f64::from(work_ms) * 1e6, priority: (slots % 2) as i32 };
+                    if w.offer(job, &mut said) {
+                        state.insert(next, "waits");
+                        prop_assert!(w.held() == held + 1);
+                    } else {
+                        prop_assert!(slots > 5 || waiting == 12, "turned away with room: {slots} {waiting}");
+                    }
+                }
+                Op::Cancel(id) => {
+                    if w.cancel(id) {
+                        state.remove(&id);
+                    }
+                }
+                Op::Pause(t) => w.pause(now + t),
+                Op::Burden(ms) => w.burden(f64::from(ms) * 1e6),
+                Op::HandBack => w.hand_back().iter().for_each(|id| {
+                    state.remove(id);
+                }),
+                Op::Restart => {
+                    w.stop().iter().for_each(|id| {
+                        state.remove(id);
+                    });
+                    w.start(now);
+                }
+            }
+            w.advance(now, &mut said);
+            prop_assert!(w.used() <= 5 && w.queued() <= 12);
+            prop_assert!(w.next().is_none_or(|t| t >= now));
+            for (at, word) in said.drain(..) {
+                prop_assert!(at >= last && at <= now, "{at} after {last}, by {now}");
+                last = at;
+                match word {
+                    Said::Started(id) => prop_assert_eq!(state.insert(id, "runs"), Some("waits")),
+                    Said::Progress(id, x) => prop_assert!(state[&id] == "runs" && (0.0..=1.0).contains(&x)),
+                    Said::Done(id) => prop_assert_eq!(state.remove(&id), Some("runs")),
+                }
+            }
+            prop_assert_eq!(state.len(), w.held());
+            let sum = w.finished + w.wasted + w.partial();
+            prop_assert!((w.delivered - sum).abs() < 1e-3 * w.delivered.max(1.0), "{} {sum}", w.delivered);
+        }
+        // Left alone, it finishes all that it holds.
+        for _ in 0..100_000 {
+            let Some(t) = w.next() else { break };
+            w.advance(t, &mut said);
+        }
+        prop_assert_eq!(w.held(), 0);
+    }
+
+    /// A draw more from one stream leaves all others as they were.
+    #[test]
+    fn streams_are_independent(seed in any::<u64>(), extra in 0usize..5) {
+        let streams = Streams::new(seed);
+        let (mut a, mut b) = (streams.named("a"), streams.named("b"));
+        (0..extra).for_each(|_| { a.bits(); });
+        prop_assert_eq!(b.bits(), streams.named("b").bits());
+        prop_assert_ne!(streams.named("a").bits(), streams.named("b").bits());
+        prop_assert_ne!(streams.numbered("a", 1).bits(), streams.named("a").bits());
+    }
+}
