--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -11,10 +11,12 @@
 
 mod agent;
 mod clients;
+mod cost;
 mod peers;
 mod schedulers;
 mod stage;
 mod wire;
 mod workers;
 
+pub use cost::Cost;
 pub use stage::{Live, Options, Played, Stop, run};
--- a/crates/emulator/src/schedulers.rs
+++ b/crates/emulator/src/schedulers.rs
@@ -1,5 +1,6 @@
 //! Schedulers: real processes that are started, signalled, killed and started again.
 
+use crate::cost::{self, Cost};
 use crate::peers::Links;
 use crate::stage::Stage;
 use crate::{agent, wire};
@@ -46,11 +47,30 @@
     asked: Cell<Nanos>,
     overran: Cell<bool>,
     pid: Cell<Option<u32>>,
+    /// What its earlier runs cost, and this one so far.
+    past: Cell<Cost>,
+    running: Cell<Cost>,
     file: PathBuf,
     peer_listen: SocketAddr,
     peers: Vec<SocketAddr>,
 }
 
+impl Scheduler {
+    /// What its process has cost, restarts included, up to the last look.
+    pub(crate) fn cost(&self) -> Cost {
+        self.past.get().and(self.running.get())
+    }
+    /// Looks at what its process costs.
+    pub(crate) fn look(&self) {
+        if let Some(pid) = self.pid.get() {
+            let cost = cost::of(&pid.to_string());
+            if cost.peak_mb > 0.0 {
+                self.running.set(cost);
+            }
+        }
+    }
+}
+
 /// Chooses addresses. Nothing is started yet.
 pub(crate) async fn prepare(files: &Path, count: usize, links: &Links) -> io::Result<Vec<Scheduler>> {
     let mut all = Vec::new();
@@ -66,6 +86,8 @@
             asked: Cell::new(0),
             overran: Cell::new(false),
             pid: Cell::new(None),
+            past: Cell::default(),
+            running: Cell::default(),
             file: files.join(format!("scheduler-{s}.json")),
             peer_listen: links.listen[s],
             peers: links.peers(s)?,
@@ -115,6 +137,8 @@
     let child = command.spawn().map_err(named)?;
     me.pid.set(child.id());
     me.run.set(me.run.get() + 1);
+    me.past.set(me.cost());
+    me.running.set(Cost::default());
     me.ending.set(false);
     me.orderly.set(false);
     me.overran.set(false);
--- a/crates/emulator/src/stage.rs
+++ b/crates/emulator/src/stage.rs
@@ -1,5 +1,6 @@
 //! The stage: what all stand-ins share, and the run of a day from its start to its end.
 
+use crate::cost::{self, Cost};
 use crate::{agent, clients, peers, schedulers, workers};
 use hdrhistogram::Histogram;
 use loomlb_decide::Nanos;
@@ -140,6 +141,10 @@
     pub lag_max_ms: f64,
     /// Length of the run, in seconds.
     pub length_s: f64,
+    /// What each scheduler cost, restarts included.
+    pub schedulers: Vec<Cost>,
+    /// What this process cost, with all stand-ins and clients.
+    pub host: Cost,
 }
 
 /// A try as its client sent it.
@@ -293,6 +298,7 @@
     loop {
         tokio::time::sleep(Duration::from_millis(100)).await;
         let now = stage.now();
+        stage.schedulers.iter().for_each(schedulers::Scheduler::look);
         if now / 1_000_000_000 > second {
             second = now / 1_000_000_000;
             tell(&live(&stage, second, now));
@@ -354,6 +360,8 @@
         lag_p99_ms: lag.value_at_quantile(0.99) as f64 / 1e3,
         lag_max_ms: lag.max() as f64 / 1e3,
         length_s: stage.now() as f64 / 1e9,
+        schedulers: stage.schedulers.iter().map(schedulers::Scheduler::cost).collect(),
+        host: cost::of("self"),
         figures,
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 use loomlb_lab::{days, tables};
 use loomlb_model::Day;
 use loomlb_model::simulate::{self, Decider};
+use rayon::prelude::*;
 use std::ffi::OsString;
 use std::io::Write;
 use std::path::PathBuf;
@@ -28,6 +29,8 @@
     Emulate(Emulate),
     /// Start a platform and a scheduler here, send traffic through a trouble, and show how it goes.
     Demo(Demo),
+    /// Compare the module with textbook policies: the same seeds of each day, in virtual time.
+    Policies(Policies),
     /// List the days that ship.
     Days,
     /// The scheduler itself, as `loomlb` runs it; what `emulate` starts where no program is named.
@@ -90,7 +93,20 @@
     json: bool,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
+#[derive(clap::Args)]
+struct Policies {
+    /// Day files or names of days that ship (default: all that ship but the large ones).
+    days: Vec<PathBuf>,
+    /// Seeds 1 to this number of each day.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    seeds: u64,
+    /// Print one JSON object instead of a table.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, ValueEnum, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
 enum Policy {
     /// The decision module.
     Module,
@@ -116,14 +132,75 @@
     }
 }
 
-fn simulate(args: &Simulate) -> Result<ExitCode, String> {
-    let day = days::load(&args.day)?;
-    let played = match args.policy.idea() {
-        None => simulate::run(&day, args.seed, args.threads),
-        Some(idea) => simulate::run_with(&day, args.seed, args.threads, &|set, seed| -> Box<dyn Decider> {
+fn play(day: &Day, seed: u64, threads: usize, policy: Policy) -> simulate::Played {
+    match policy.idea() {
+        None => simulate::run(day, seed, threads),
+        Some(idea) => simulate::run_with(day, seed, threads, &|set, seed| -> Box<dyn Decider> {
             Box::new(Baseline::new(idea, set, seed))
         }),
+    }
+}
+
+/// Service of a policy on the seeds of a day.
+#[derive(serde::Serialize)]
+struct Compared {
+    day: String,
+    policy: Policy,
+    service: Vec<f64>,
+    breaches: u64,
+}
+
+fn policies(args: &Policies) -> Result<ExitCode, String> {
+    let small = |name: &&str| !["large", "huge", "demo"].contains(name);
+    let named: Vec<PathBuf> = if args.days.is_empty() {
+        days::SHIPPED.iter().map(|d| d.0).filter(small).map(PathBuf::from).collect()
+    } else {
+        args.days.clone()
     };
+    let days = named.iter().map(|d| days::load(d)).collect::<Result<Vec<Day>, String>>()?;
+    let policies =
+        [Policy::Module, Policy::LeastInFlight, Policy::TwoChoices, Policy::RoundRobin, Policy::Random];
+    let pairs: Vec<(&Day, Policy)> = days.iter().flat_map(|d| policies.map(|p| (d, p))).collect();
+    let bar = indicatif::ProgressBar::new(pairs.len() as u64 * args.seeds);
+    let compared: Vec<Compared> = pairs
+        .par_iter()
+        .map(|(day, policy)| {
+            let played = |seed| {
+                let played = play(day, seed, 0, *policy);
+                bar.inc(1);
+                played
+            };
+            let all: Vec<simulate::Played> = (1..=args.seeds).map(played).collect();
+            let service = all.iter().map(|p| p.figures.service).collect();
+            let breaches = all.iter().map(|p| p.breaches).sum();
+            Compared { day: day.name.clone(), policy: *policy, service, breaches }
+        })
+        .collect();
+    bar.finish_and_clear();
+    let breaches = compared.iter().filter(|c| c.policy == Policy::Module).map(|c| c.breaches).sum();
+    report(args.json, &compared, || {
+        let mut head = vec!["service, median (least to most)".to_string()];
+        head.extend(
+            policies.map(|p| p.to_possible_value().map_or(String::new(), |v| v.get_name().to_string())),
+        );
+        let mut rows = vec![head];
+        for row in compared.chunks(policies.len()) {
+            let cell = |c: &Compared| {
+                let mut s = c.service.clone();
+                s.sort_by(f64::total_cmp);
+                let mark = if c.breaches > 0 { format!(" !{}", c.breaches) } else { String::new() };
+                format!("{:.3} ({:.2}-{:.2}){mark}", s[s.len() / 2], s[0], s[s.len() - 1])
+            };
+            rows.push(std::iter::once(row[0].day.clone()).chain(row.iter().map(cell)).collect());
+        }
+        tables::columns(&rows)
+    })?;
+    Ok(verdict(breaches))
+}
+
+fn simulate(args: &Simulate) -> Result<ExitCode, String> {
+    let day = days::load(&args.day)?;
+    let played = play(&day, args.seed, args.threads, args.policy);
     report(args.json, &played, || tables::played(&day, args.seed, &played))?;
     Ok(verdict(played.breaches))
 }
@@ -220,6 +297,7 @@
         Command::Simulate(args) => simulate(&args),
         Command::Emulate(args) => emulate(&args),
         Command::Demo(args) => demo(&args),
+        Command::Policies(args) => policies(&args),
         Command::Scheduler { args } => {
             return loomlb::run(std::iter::once(OsString::from("loomlb")).chain(args));
         }
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -46,6 +46,13 @@
     rows.push(row("call-backs before their 202", p.overtaken.to_string()));
     rows.push(row("call-backs to a successor", p.call_backs_to_successor.to_string()));
     rows.push(row("crashes", p.crashes.to_string()));
+    for (s, c) in p.schedulers.iter().enumerate() {
+        rows.push(row(
+            &format!("scheduler {s}: CPU, peak memory"),
+            format!("{:.2} s, {:.1} MB", c.cpu_s, c.peak_mb),
+        ));
+    }
+    rows.push(row("this host: CPU, peak memory", format!("{:.2} s, {:.1} MB", p.host.cpu_s, p.host.peak_mb)));
     rows.push(row("this host late by, p99", format!("{:.1} ms", p.lag_p99_ms)));
     rows.push(row("breaches", p.breaches.to_string()));
     let mut out = format!("{} (seed {seed}) on sockets, {:.1} s\n{}", day.name, p.length_s, columns(&rows));
