--- a/crates/emulator/src/stage.rs
+++ b/crates/emulator/src/stage.rs
@@ -413,7 +413,9 @@
         class: request.class,
         slots: request.slots,
         work: request.work,
-        path: format!("/{}/subject-{}", class.name, request.subject),
+        path: request
+            .subject
+            .map_or_else(|| format!("/{}", class.name), |s| format!("/{}/subject-{s}", class.name)),
         body: format!("petition {} of {}", request.number, class.name),
         key,
     }
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -20,8 +20,8 @@
     pub class: usize,
     /// Its tenant.
     pub tenant: Option<usize>,
-    /// What it is about.
-    pub subject: u64,
+    /// What it is about, where it is about anything.
+    pub subject: Option<u64>,
     /// Slots that its job takes.
     pub slots: u32,
     /// Work of its job, in nanoseconds of a yardstick core.
@@ -163,7 +163,7 @@
             at: (self.at * 1e9) as Nanos,
             class,
             tenant,
-            subject: self.subject.below(day.load.subjects) as u64,
+            subject: (day.load.subjects > 0).then(|| self.subject.below(day.load.subjects) as u64),
             slots,
             work,
             patience: patience as Nanos,
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -241,7 +241,7 @@
     /// How far a wave swings around the mean, as a part of it.
     #[serde(default)]
     pub swing: f64,
-    /// Different subjects of requests.
+    /// Different subjects of requests; 0 for requests without one.
     #[serde(default = "subjects")]
     pub subjects: usize,
 }
@@ -695,7 +695,6 @@
             }
         }
         need("load.swing", part(self.load.swing), "a swing is from 0 to 1");
-        need("load.subjects", self.load.subjects > 0, "there is one subject at least");
         let c = &self.clients;
         need("clients.retries", c.retries <= 14, "at most 14 retries are possible");
         need("clients.backoff_ms", time(c.backoff_ms), "a time is 0 or more");
--- a/crates/model/src/simulate.rs
+++ b/crates/model/src/simulate.rs
@@ -842,12 +842,12 @@
         let class_end = r.at + ms(self.world.day.classes[r.class].deadline_ms);
         let by = self.nodes[s].ending.map_or(class_end, |at| class_end.min(self.ends_by(at) - 200_000_000));
         let remaining = by.saturating_sub(now);
-        let (class, tenant, slots, work) = (r.class, r.tenant, r.slots, r.work);
+        let (class, tenant, slots, work, subject) = (r.class, r.tenant, r.slots, r.work, r.subject);
         let asked = Asked {
             id: RequestId(id),
             class: ClassId(class),
             tenant: tenant.map(TenantId),
-            key: Some(key(&format!("s{}", r.subject))),
+            key: subject.map(|s| key(&format!("s{s}"))),
             slots: f64::from(slots),
             remaining,
             ..Asked::default()
