Nested quotas: a pure core that lends idle shares and is paid back, asked by admit

Need: shares between members are tense, and a share was one bucket a tenant, blind to work and to concurrency, sorted anew for every request.

Change: loomlb-quota, a pure core: a tree of up to eight levels with guaranteed shares, ceilings, weights and windows for requests, work and slots in use. A full bucket lends its rate to its parent's, so a request costs the depth of the tree. Loans and credits balance at every moment and fade together; a lender that comes back has its full bucket at once, and borrowers pay back a bounded part while it wants more. admit asks for each flow and passes the verdict to the module, whose own shares give way; what a flow took is settled by the starts and ends that its targets told. The tree stands in the operator file, is checked by line and key, and is replaced whole on SIGHUP with jobs in flight. Off without the file.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -280,6 +280,8 @@
     pub remaining: Nanos,
     /// The client repeats, where clients mark this.
     pub retry: bool,
+    /// Whether it is within its tenant's share, where that is decided elsewhere.
+    pub in_share: Option<bool>,
     /// A hint of its work.
     pub expected: Option<Nanos>,
 }
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -315,7 +315,7 @@
         let work = request.expected.map_or(learned.run * 0.3, |e| e as f64 * 0.6);
         let slack = class.aim as f64 * 0.7 + (class.stretch - 1.0) * work;
         let start_by = (self.now + slack.max(0.0) as Nanos).saturating_sub(before);
-        let in_share = self.in_share(request.tenant, request.retry);
+        let in_share = request.in_share.unwrap_or_else(|| self.in_share(request.tenant, request.retry));
         let worth = self.worth(request.class.0);
         toward(&mut self.mean_worth, worth, 0.01);
         let job = Job {
--- /dev/null
+++ b/crates/keys/src/lib.rs
@@ -0,0 +1,70 @@
+//! TOML files whose faults are named by line and key.
+#![forbid(unsafe_code)]
+
+use serde::de::DeserializeOwned;
+use std::fmt;
+use toml::de::{DeTable, DeValue};
+
+/// A fault in a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line, from 1; 0 where none can be named.
+    pub line: usize,
+    /// The key, with dots; empty where the text itself is at fault.
+    pub key: String,
+    /// What is wrong with it, and what would do.
+    pub reason: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(f, "line {}: ", self.line)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        write!(f, "{}", self.reason)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Reads a text into a type; what does not fit is named with its line.
+pub fn read<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
+    toml::from_str(text).map_err(|e| Fault {
+        line: e.span().map_or(0, |span| line_at(text, span.start)),
+        key: String::new(),
+        reason: e.message().to_string(),
+    })
+}
+
+fn line_at(text: &str, offset: usize) -> usize {
+    text.as_bytes()[..offset.min(text.len())].iter().filter(|b| **b == b'\n').count() + 1
+}
+
+/// The line of a key such as `class[1].work_ms`, or of the nearest part of it that the text has.
+pub fn line_of(text: &str, key: &str) -> usize {
+    let Ok(root) = DeTable::parse(text) else { return 0 };
+    let mut table = root.get_ref();
+    let mut line = 0;
+    for part in key.split('.') {
+        let (name, index) = match part.split_once('[') {
+            Some((name, rest)) => (name, rest.trim_end_matches(']').parse::<usize>().ok()),
+            None => (part, None),
+        };
+        let Some((at, value)) = table.iter().find(|(k, _)| k.get_ref() == name) else { break };
+        line = line_at(text, at.span().start);
+        let mut value = value;
+        if let (Some(i), DeValue::Array(items)) = (index, value.get_ref()) {
+            let Some(item) = items.get(i) else { break };
+            line = line_at(text, item.span().start);
+            value = item;
+        }
+        match value.get_ref() {
+            DeValue::Table(inner) => table = inner,
+            _ => break,
+        }
+    }
+    line
+}
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -1,6 +1,7 @@
 //! Admit: whether an offer becomes a flow. It knows classes, tenants, deadlines and bounds, but no protocol.
 
 use super::book::{Answer, Flow, Work};
+use super::shares::Share;
 use super::wheel::Due;
 use super::{Scheduler, route};
 use loomlb_decide::boot::key;
@@ -81,13 +82,25 @@
         book.counters.turned_back += 1;
         return Err(Rejection::NoRoom(NO_ROOM_WAIT.min(s.config.settings.limits.max_retry_after)));
     }
+    let most = s.config.settings.limits.max_retry_after;
+    let (slots, spread) = (offer.slots.unwrap_or(1.0), book.counters.flows ^ book.counters.turned_back << 32);
+    let tenant = offer.tenant.as_deref().unwrap_or("");
+    let (holding, in_share) = match s.shares.ask(now, tenant, class, slots, offer.retry, spread) {
+        Share::Unasked => (None, None),
+        Share::Pass(holding, in_share) => (Some(holding), Some(in_share)),
+        Share::Stranger => (None, Some(false)),
+        Share::Refused(after) => {
+            book.counters.turned_back += 1;
+            return Err(Rejection::NoRoom(after.min(most)));
+        }
+    };
     let patience = offer.patience.unwrap_or(settings.deadline);
     let remaining = s.shutdown.answer_by().map_or(patience, |by| patience.min(by.saturating_sub(now)));
     let deadline = now.saturating_add(remaining);
     let (reply, answer) = oneshot::channel();
     let correlation = offer.work.correlation.clone();
     let work = Rc::new(offer.work);
-    let id = book.open(Flow { work, deadline, reply: Some(reply), forwards: Vec::new() });
+    let id = book.open(Flow { work, deadline, reply: Some(reply), forwards: Vec::new(), holding, ran: 0.0 });
     drop(book);
     // A tick later than the last time-out, whose news lets the module answer by itself.
     s.wheel.set(deadline.saturating_add(s.config.settings.tick), Due::Deadline(id));
@@ -105,10 +118,11 @@
         class: ClassId(class),
         tenant: tenant.map(TenantId),
         key: offer.subject.as_deref().map(key),
-        slots: offer.slots.unwrap_or(1.0),
+        slots,
         memory: offer.memory.unwrap_or(0.0),
         remaining,
         retry: offer.retry,
+        in_share,
         expected: offer.expected,
     };
     route::feed(s, Event::Request(request));
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -1,5 +1,6 @@
 //! Book: the table of open flows with their forwards, and the counters.
 
+use super::shares::Holding;
 use bytes::Bytes;
 use loomlb_decide::{Nanos, Outcome, RequestId, WorkerId};
 use std::collections::HashMap;
@@ -60,6 +61,8 @@
     pub opened: Nanos,
     /// How far it has come.
     pub stage: Stage,
+    /// When its target told that the job started.
+    pub started: Option<Nanos>,
     /// The task that writes it and reads the 202.
     pub task: Option<AbortHandle>,
     /// Told once the target has been told to drop it, while that is under way.
@@ -77,6 +80,10 @@
     pub reply: Option<oneshot::Sender<Answer>>,
     /// The forwards, by their numbers.
     pub forwards: Vec<Forward>,
+    /// What it holds of its tenant's shares.
+    pub holding: Option<Holding>,
+    /// Seconds that its jobs ran, as far as they have ended.
+    pub ran: f64,
 }
 
 /// Counts of what came in, was sent, and was answered.
@@ -232,15 +239,17 @@
         Some(reply)
     }
 
-    /// Forgets a flow that is answered and has no forward out.
-    pub fn tidy(&mut self, id: RequestId) {
+    /// Forgets a flow that is answered and has no forward out; what it held of shares, and the seconds its jobs ran.
+    #[must_use]
+    pub fn tidy(&mut self, id: RequestId) -> Option<(Holding, f64)> {
         let over = |f: &Flow| f.reply.is_none() && f.forwards.iter().all(|x| x.stage == Stage::Ended);
-        if self.flows.get(&id).is_some_and(over)
-            && let Some(flow) = self.flows.remove(&id)
-        {
-            self.body_bytes -= flow.work.body.len();
-            self.by_correlation.remove(&flow.work.correlation);
+        if !self.flows.get(&id).is_some_and(over) {
+            return None;
         }
+        let flow = self.flows.remove(&id)?;
+        self.body_bytes -= flow.work.body.len();
+        self.by_correlation.remove(&flow.work.correlation);
+        flow.holding.map(|holding| (holding, flow.ran))
     }
 
     /// Flows that are owed an answer.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reload;
 pub mod route;
 pub mod send;
+pub mod shares;
 pub mod shutdown;
 pub mod wheel;
 
@@ -55,21 +56,26 @@
     pub listener: intake::Listener,
     /// Whether the end has come.
     pub shutdown: shutdown::Shutdown,
+    /// Nested quotas, where the operator has them.
+    pub shares: shares::Shares,
 }
 
 /// Runs the scheduler until it is told to end.
-pub fn serve(config: Config) -> io::Result<()> {
+pub fn serve(config: Config, quotas: shares::Quotas) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, quotas))
 }
 
-async fn run(config: Config) -> io::Result<()> {
+async fn run(config: Config, quotas: shares::Quotas) -> io::Result<()> {
     let named = |what: &str, e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
     let listener = TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?;
     let peers = peers::Peers::open(&config).await.map_err(|e| named("peer_listen", e))?;
     let clock = clock::Clock::default();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let aims: Vec<loomlb_decide::Nanos> = config.settings.classes.iter().map(|c| c.aim).collect();
+    let shares = shares::Shares::new(quotas, &aims, config.settings.dispatchers, clock.now());
     let s = Rc::new(Scheduler {
+        shares: shares.map_err(io::Error::other)?,
         router: route::Router::new(Dispatcher::new(config.settings.clone(), config.seed)),
         wheel: wheel::Wheel::new(clock.now()),
         pool: send::Pool::new(config.outbound, config.terms.keepalive),
@@ -92,7 +98,7 @@
     spawn_local(peers::listen(Rc::clone(&s)));
     spawn_local(intake::accept(Rc::clone(&s), listener));
     shutdown::wait(&s, signals).await;
-    tracing::info!("counters: {}", s.book.borrow().counters);
+    shutdown::report(&s);
     Ok(())
 }
 
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relay: what targets say of a forward goes to the module, and answers go to whoever fed the flow.
 
 use super::book::{Answer, Stage};
+use super::shares::Holding;
 use super::{Scheduler, route};
 use bytes::Bytes;
 use loomlb_decide::{Ended, Event, Note, Outcome, Report, RequestId};
@@ -23,18 +24,25 @@
         Answer::Refused(_) => book.counters.refused += 1,
         Answer::Failed => book.counters.failed += 1,
     }
-    book.tidy(id);
+    settle(s, book.tidy(id));
     // If the client has hung up in this very moment, nobody listens any more.
     let _ = reply.send(answer);
     true
 }
 
+/// A flow is over: its shares are charged what it took.
+fn settle(s: &Scheduler, over: Option<(Holding, f64)>) {
+    if let Some((holding, seconds)) = over {
+        s.shares.settle(s.clock.now(), holding, seconds);
+    }
+}
+
 /// The client of a flow has gone.
 pub fn gone(s: &Rc<Scheduler>, id: RequestId) {
     let mut book = s.book.borrow_mut();
     if book.settle(id).is_some() {
         book.counters.gone += 1;
-        book.tidy(id);
+        settle(s, book.tidy(id));
         drop(book);
         route::feed(s, Event::Gone(id));
     }
@@ -53,11 +61,18 @@
     let mut book = s.book.borrow_mut();
     let Some(forward) = book.forward(id, n).filter(|f| f.stage != Stage::Ended) else { return };
     forward.stage = Stage::Ended;
-    let latency = s.clock.now().saturating_sub(forward.opened);
+    let now = s.clock.now();
+    let latency = now.saturating_sub(forward.opened);
+    // A job that its target never started has taken nothing; where starts are not told, all of its time counts.
+    let started = if s.config.settings.tells_start { forward.started } else { Some(forward.opened) };
+    let ran = started.filter(|_| !outcome.never_ran()).map_or(0.0, |at| now.saturating_sub(at) as f64 / 1e9);
     tracing::debug!(flow = id.0, target = &*forward.host, attempt = n, outcome = ?outcome, latency_us = latency / 1000, "ended");
-    let closed = book.flow(id).is_none_or(|f| f.reply.is_none());
+    let closed = book.flow(id).is_none_or(|f| {
+        f.ran += ran;
+        f.reply.is_none()
+    });
     book.counters.outcome(outcome);
-    book.tidy(id);
+    settle(s, book.tidy(id));
     drop(book);
     route::feed(s, Event::Ended { id, attempt: n, ended: Ended { outcome, latency, closed, report } });
 }
@@ -93,6 +108,11 @@
         book.counters.call_backs_unknown += 1;
         return true;
     };
+    if said.state == "started"
+        && let Some(forward) = book.forward(id, n)
+    {
+        forward.started.get_or_insert(s.clock.now());
+    }
     drop(book);
     // A report that cannot be read must not cost the flow its result.
     let report = said.load.as_ref().and_then(|load| load.as_object()).map(|load| {
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -13,6 +13,10 @@
     let s = Rc::clone(s);
     spawn_local(async move {
         while hangup.recv().await.is_some() {
+            if let Err(e) = s.shares.reload(s.clock.now()) {
+                s.book.borrow_mut().counters.reload_faults += 1;
+                tracing::error!("operator file: {e}; the old one stays");
+            }
             match s.config.reload() {
                 Ok(fresh) => {
                     s.book.borrow_mut().counters.reloads += 1;
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -163,6 +163,7 @@
         host: target.as_ref().map_or_else(|| "".into(), |t| Rc::clone(&t.host)),
         opened: now,
         stage: Stage::Unsent,
+        started: None,
         task: None,
         undoing: None,
     });
--- /dev/null
+++ b/crates/scheduler/src/shares.rs
@@ -0,0 +1,140 @@
+//! Shares: nested quotas between admit and the module, where the operator file has them.
+//!
+//! `admit` asks for every flow; what a flow really took, in slot seconds of the starts and ends that its targets told, is
+//! settled when it is over. Without quotas nothing is asked and the module's own shares hold.
+
+use loomlb_decide::Nanos;
+use loomlb_quota::{Ask, Quota, Spec, Standing, Ticket, Verdict};
+use std::cell::RefCell;
+use std::fmt;
+
+/// How much of a class's mean work the newest job tells.
+const NEW: f64 = 0.05;
+/// Rows of the table of loans that are logged.
+const ROWS: usize = 20;
+
+/// The quotas of the operator file, and how to read them again.
+pub struct Quotas {
+    /// The tree; none where there are no quotas.
+    pub spec: Option<Spec>,
+    /// Reads the operator file again.
+    pub again: Box<dyn Fn() -> Result<Option<Spec>, String>>,
+}
+
+/// What a flow holds of its tenant's shares until it is over.
+#[derive(Clone, Copy, Debug)]
+pub struct Holding {
+    ticket: Ticket,
+    /// Its class.
+    pub class: usize,
+    /// Its slots.
+    pub slots: f64,
+}
+
+/// The quota core with what it needs to know of classes.
+pub struct Shares {
+    quota: RefCell<Option<Quota>>,
+    /// Mean work of each class's jobs, in slot seconds of one slot.
+    mean: RefCell<Vec<f64>>,
+    again: Box<dyn Fn() -> Result<Option<Spec>, String>>,
+    /// Schedulers that share the tree: each holds an equal part of it.
+    schedulers: u32,
+}
+
+impl fmt::Debug for Shares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shares").field("quota", &self.quota).finish_non_exhaustive()
+    }
+}
+
+/// What admit is told.
+#[derive(Debug)]
+pub enum Share {
+    /// There are no quotas.
+    Unasked,
+    /// It may pass; whether it is within its tenant's share, lent room included.
+    Pass(Holding, bool),
+    /// No node has its tenant's name: over share, and nothing is held.
+    Stranger,
+    /// A ceiling is reached; come back after this time.
+    Refused(Nanos),
+}
+
+impl Shares {
+    /// The shares of one of so many schedulers. The tree is checked by whoever read it.
+    pub fn new(quotas: Quotas, aims: &[Nanos], schedulers: u32, now: Nanos) -> Result<Shares, String> {
+        let schedulers = schedulers.max(1);
+        let quota = quotas.spec.map(|spec| Quota::new(spec.part(1.0 / f64::from(schedulers)), now));
+        let quota = quota.transpose().map_err(|e| format!("quota: {e}"))?;
+        let mean = aims.iter().map(|aim| (*aim as f64 / 1e9).max(0.001)).collect();
+        Ok(Shares { quota: RefCell::new(quota), mean: RefCell::new(mean), again: quotas.again, schedulers })
+    }
+
+    /// Asks for a flow.
+    pub fn ask(&self, now: Nanos, tenant: &str, class: usize, slots: f64, retry: bool, spread: u64) -> Share {
+        let mut quota = self.quota.borrow_mut();
+        let Some(quota) = quota.as_mut() else { return Share::Unasked };
+        let slots = slots.max(1.0);
+        let work = self.mean.borrow().get(class).copied().unwrap_or(0.0) * slots;
+        match quota.admit(now, tenant, &Ask { slots, work, retry, spread }) {
+            Verdict::Admitted(ticket, standing) => {
+                Share::Pass(Holding { ticket, class, slots }, standing != Standing::Over)
+            }
+            Verdict::Refused(refusal) => Share::Refused(refusal.after),
+            Verdict::Unknown => Share::Stranger,
+        }
+    }
+
+    /// A flow is over, and its jobs ran for so many seconds in all.
+    pub fn settle(&self, now: Nanos, holding: Holding, seconds: f64) {
+        if let Some(mean) = self.mean.borrow_mut().get_mut(holding.class).filter(|_| seconds > 0.0) {
+            *mean += (seconds - *mean) * NEW;
+        }
+        if let Some(quota) = self.quota.borrow_mut().as_mut() {
+            quota.settle(now, holding.ticket, seconds * holding.slots);
+        }
+    }
+
+    /// Reads the operator file again and puts its tree in place, whole; a faulty one changes nothing.
+    pub fn reload(&self, now: Nanos) -> Result<(), String> {
+        let fresh = (self.again)()?;
+        let part = 1.0 / f64::from(self.schedulers);
+        let mut quota = self.quota.borrow_mut();
+        match (quota.as_mut(), fresh) {
+            (Some(quota), Some(spec)) => {
+                quota.change(now, spec.part(part)).map_err(|e| format!("quota: {e}"))
+            }
+            (_, fresh) => {
+                let made = fresh.map(|spec| Quota::new(spec.part(part), now)).transpose();
+                *quota = made.map_err(|e| format!("quota: {e}"))?;
+                Ok(())
+            }
+        }
+    }
+
+    /// Counters and the largest loans, for the log; none without quotas.
+    pub fn table(&self, now: Nanos) -> Option<String> {
+        let mut quota = self.quota.borrow_mut();
+        let quota = quota.as_mut()?;
+        let mut loans = quota.loans(now);
+        loans.sort_by(|a, b| (b.owes + b.is_owed).total_cmp(&(a.owes + a.is_owed)));
+        let c = &quota.counters;
+        let mut text = format!(
+            "quota: within={} borrowed={} over={} refused={} unknown={} open={} lent={:.0} requests, {:.1} slot seconds",
+            c.within,
+            c.borrowed,
+            c.over,
+            c.refused,
+            c.unknown,
+            quota.open(),
+            c.lent[0],
+            c.lent[1]
+        );
+        for l in loans.iter().take(ROWS) {
+            let measure =
+                if l.measure == loomlb_quota::Measure::Requests { "requests" } else { "slot seconds" };
+            text += &format!("; {}: owes {:.1}, is owed {:.1} {measure}", l.node, l.owes, l.is_owed);
+        }
+        Some(text)
+    }
+}
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -75,6 +75,14 @@
     }
 }
 
+/// Logs the counters.
+pub fn report(s: &Scheduler) {
+    tracing::info!("counters: {}", s.book.borrow().counters);
+    if let Some(table) = s.shares.table(s.clock.now()) {
+        tracing::info!("{table}");
+    }
+}
+
 /// Waits for the signals; returns once the program may end. Call-backs come to the listener, so it stays open
 /// until the last flow is answered.
 pub async fn wait(s: &Rc<Scheduler>, mut signals: Signals) {
@@ -82,7 +90,7 @@
         tokio::select! {
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
-            _ = signals.report.recv() => tracing::info!("counters: {}", s.book.borrow().counters),
+            _ = signals.report.recv() => report(s),
         }
     }
     let now = s.clock.now();
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -118,6 +118,7 @@
                     memory: e.mem.unwrap_or(0.0),
                     remaining: need(e.remaining, "remaining")?,
                     retry: e.retry,
+                    in_share: None,
                     expected: e.expected,
                 })
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use loomlb_scheduler::config::Config;
+use loomlb_scheduler::shares::Quotas;
 use operator::{Format, Operator};
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -80,7 +81,12 @@
     if let Err(e) = log_to_stderr(&operator) {
         return faulty("log", &e);
     }
-    match loomlb_scheduler::serve(config) {
+    let file = args.operator.clone();
+    let quotas = Quotas {
+        spec: operator.quota,
+        again: Box::new(move || Operator::load(file.as_deref()).map(|fresh| fresh.quota)),
+    };
+    match loomlb_scheduler::serve(config, quotas) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("loomlb: {e}");
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,5 +1,7 @@
 //! The operator file: what our own installations switch on beyond the platform's terms. Off where it says nothing.
 
+use loomlb_keys::{Fault, line_of};
+use loomlb_quota::Spec;
 use serde::Deserialize;
 use std::fmt;
 use std::path::Path;
@@ -10,6 +12,8 @@
 pub(crate) struct Operator {
     /// The log.
     pub(crate) log: Log,
+    /// Nested quotas; without them shares are those of the settings.
+    pub(crate) quota: Option<Spec>,
 }
 
 /// How to log.
@@ -46,22 +50,24 @@
         Operator::read(&text).map_err(|e| format!("{}: {e}", file.display()))
     }
 
-    fn read(text: &str) -> Result<Operator, String> {
-        let operator: Operator = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(0, |s| text[..s.start.min(text.len())].matches('\n').count() + 1);
-            format!("line {line}: {}", e.message())
-        })?;
+    fn read(text: &str) -> Result<Operator, Fault> {
+        let operator: Operator = loomlb_keys::read(text)?;
+        let fault = |key: String, reason: String| Fault { line: line_of(text, &key), key, reason };
         // A bare word that is no level would be taken for the name of a target, and nothing would be logged.
         let known = |part: &str| {
             let level = part.rsplit('=').next().unwrap_or(part);
             level.trim().parse::<tracing_subscriber::filter::LevelFilter>().is_ok()
         };
-        let level = &operator.log.level;
-        if let Some(part) = level.split(',').find(|part| !known(part)) {
-            let line = text.lines().position(|l| l.trim_start().starts_with("level")).map_or(0, |i| i + 1);
-            return Err(format!(
-                "line {line}: log.level: {part:?}: a level is off, error, warn, info, debug or trace"
-            ));
+        if let Some(part) = operator.log.level.split(',').find(|part| !known(part)) {
+            let reason = format!("{part:?}: a level is off, error, warn, info, debug or trace");
+            return Err(fault("log.level".into(), reason));
+        }
+        if let Some(Err(e)) = operator.quota.as_ref().map(Spec::check) {
+            let key = match e.node {
+                Some(i) => format!("quota.node[{i}].{}", e.key),
+                None => format!("quota.{}", e.key),
+            };
+            return Err(fault(key, e.reason));
         }
         Ok(operator)
     }
@@ -69,6 +75,8 @@
 
 impl fmt::Display for Operator {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "log: {:?}, {}", self.log.format, self.log.level)
+        write!(f, "log: {:?}, {}", self.log.format, self.log.level)?;
+        let nodes = self.quota.as_ref().map_or(0, |q| q.nodes.len());
+        if nodes > 0 { write!(f, "; quota: {nodes} nodes") } else { Ok(()) }
     }
 }
