--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -176,7 +176,13 @@
     }
 }
 
+/// Hosts the decision module on the simulator's wire: JSON lines on standard input, replies on standard output.
+#[derive(clap::Parser)]
+#[command(name = "loomlb-simhost", version)]
+struct Args {}
+
 fn main() -> std::process::ExitCode {
+    let Args {} = clap::Parser::parse();
     let stdin = std::io::stdin();
     let mut input = std::io::BufReader::with_capacity(1 << 20, stdin.lock());
     let mut output = std::io::stdout().lock();
