Count a taken request once in the virtual host

Seen: a clean checkout's test found twice as many requests taken as answered.

Measured: the lab's, the model's and the quotas' tests pass again.

--- a/crates/model/src/simulate.rs
+++ b/crates/model/src/simulate.rs
@@ -909,7 +909,6 @@
             remaining,
             ..Asked::default()
         };
-        self.world.referee.taken(now, id, s, class, by);
         self.nodes[s].flows.insert(
             id,
             Flow {
