--- a/crates/emulator/src/workers.rs
+++ b/crates/emulator/src/workers.rs
@@ -8,7 +8,6 @@
 use loomlb_model::world::{Attempt, Dial, Reply, Report, Word, World};
 use serde_json::{Value, json};
 use std::cell::Cell;
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -287,15 +286,7 @@
 async fn call_back(stage: Rc<Stage>, s: usize, w: usize, mut queue: mpsc::Receiver<Waiting>) {
     let to = stage.schedulers[s].listen;
     let mut kept: Option<Line> = None;
-    let mut backlog: VecDeque<Waiting> = VecDeque::new();
-    loop {
-        if backlog.is_empty() {
-            match queue.recv().await {
-                Some(first) => backlog.push_back(first),
-                None => return,
-            }
-        }
-        let Some((run, text)) = backlog.pop_front() else { continue };
+    while let Some((run, text)) = queue.recv().await {
         let mut answered = false;
         for call in 0..CALLS {
             if call > 0 {
--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -270,6 +270,12 @@
         story
     }
 
+    /// What a request's class permits, and the window of its key; also once the request has ended.
+    fn effect(&self, request: u64) -> (Effect, Nanos) {
+        let story = self.open.get(&request).or_else(|| self.ended.get(&request));
+        story.and_then(|s| self.effects.get(s.class)).copied().unwrap_or((Effect::Safe, 0))
+    }
+
     fn tidy(&mut self, request: u64) {
         if self.open.get(&request).is_some_and(Story::settled)
             && let Some(story) = self.open.remove(&request)
@@ -305,9 +311,8 @@
         told: Option<Nanos>,
     ) {
         self.seen.attempts += 1;
-        let (effects, copies) = (&self.effects, self.second_copies);
-        let class = self.open.get(&request).map_or(0, |s| s.class);
-        let (effect, window) = effects.get(class).copied().unwrap_or((Effect::Safe, 0));
+        let copies = self.second_copies;
+        let (effect, window) = self.effect(request);
         let story = self.fact(request, at, Fact::Received { worker, cell, job });
         let open = story.attempts.iter().any(|a| a.ended.is_none());
         let first = story.attempts.iter().find(|a| a.ended != Some(Ended::NeverRan)).cloned();
@@ -357,8 +362,7 @@
     /// A worker has started a job: from now on its effect may have happened.
     pub fn started(&mut self, at: Nanos, request: u64, worker: usize, job: u64) {
         self.seen.started += 1;
-        let class = self.open.get(&request).or_else(|| self.ended.get(&request)).map_or(0, |s| s.class);
-        let effect = self.effects.get(class).map_or(Effect::Safe, |e| e.0);
+        let (effect, _) = self.effect(request);
         let story = self.fact(request, at, Fact::Started { worker });
         if let Some(a) = story.attempts.iter_mut().find(|a| a.job == job) {
             a.started = true;
@@ -401,9 +405,7 @@
             Answered::Failed => "failed",
         };
         let grace = self.answer_grace;
-        let effects = &self.effects;
-        let class = self.open.get(&request).or_else(|| self.ended.get(&request)).map_or(0, |s| s.class);
-        let effect = effects.get(class).map_or(Effect::Safe, |e| e.0);
+        let (effect, _) = self.effect(request);
         let story = self.fact(request, at, Fact::Answered { kind });
         let (twice, taken) = (std::mem::replace(&mut story.answered, true), story.taken);
         let late = taken && at > story.deadline.saturating_add(grace);
--- a/crates/model/src/simulate.rs
+++ b/crates/model/src/simulate.rs
@@ -20,6 +20,7 @@
 use rayon::prelude::*;
 use rustc_hash::FxHashMap;
 use serde::Serialize;
+use slab::Slab;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -184,10 +185,8 @@
     pushed: u64,
     ticking: Option<Nanos>,
     now: Nanos,
-    words: Vec<Option<Said>>,
-    free_words: Vec<usize>,
-    datagrams: Vec<Option<(usize, Vec<u8>)>>,
-    free_datagrams: Vec<usize>,
+    words: Slab<Said>,
+    datagrams: Slab<(usize, Vec<u8>)>,
     collector: Collector,
     delays: Stream,
     front: Stream,
@@ -223,10 +222,8 @@
         pushed: 0,
         ticking: None,
         now: 0,
-        words: Vec::new(),
-        free_words: Vec::new(),
-        datagrams: Vec::new(),
-        free_datagrams: Vec::new(),
+        words: Slab::new(),
+        datagrams: Slab::new(),
         collector: Collector::new(day),
         delays: streams.named("delays"),
         front: streams.named("front"),
@@ -241,7 +238,7 @@
     for s in 0..day.schedulers.count {
         let node = host.fresh(s);
         host.nodes.push(node);
-        host.introduce(s);
+        host.tell_list(s, ListKind::Persisted);
     }
     host.push(0, Due::Next);
     host.play(day);
@@ -337,13 +334,13 @@
         }
     }
 
-    /// Tells a scheduler that has just started of the list as it was last told.
-    fn introduce(&mut self, s: usize) {
+    /// Tells a scheduler of the whole list as it was last told.
+    fn tell_list(&mut self, s: usize, kind: ListKind) {
         let (_, entries) = self.world.told(s);
         let names = &self.nodes[s].names;
         let mut entries: Vec<_> = entries.iter().map(|e| settings::worker(&self.world, names, e)).collect();
         entries.retain(|e| e.state != loomlb_decide::WorkerState::Gone);
-        self.feed(s, Event::Workers { kind: ListKind::Persisted, entries });
+        self.feed(s, Event::Workers { kind, entries });
     }
 
     fn feed(&mut self, s: usize, event: Event) {
@@ -470,17 +467,7 @@
         if lost || !self.world.peers_reachable(s, peer) {
             return;
         }
-        let kept = Some((s, bytes.to_vec()));
-        let at = match self.free_datagrams.pop() {
-            Some(at) => {
-                self.datagrams[at] = kept;
-                at
-            }
-            None => {
-                self.datagrams.push(kept);
-                self.datagrams.len() - 1
-            }
-        };
+        let at = self.datagrams.insert((s, bytes.to_vec()));
         let run = self.nodes[peer].run;
         self.push(self.now + after, Due::Datagram(peer, run, at));
     }
@@ -664,15 +651,13 @@
             Due::Timeout(s, run, id, n) if lives(self, s, run) => self.give_up(s, id, n, Outcome::Timeout),
             Due::GiveUp(job) => self.world.give_up(now, job),
             Due::Word(s, run, at) => {
-                let Some((id, job, word, report)) = self.words[at].take() else { return };
-                self.free_words.push(at);
+                let Some((id, job, word, report)) = self.words.try_remove(at) else { return };
                 if lives(self, s, run) {
                     self.word(s, id, job, word, report);
                 }
             }
             Due::Datagram(s, run, at) => {
-                let Some((from, bytes)) = self.datagrams[at].take() else { return };
-                self.free_datagrams.push(at);
+                let Some((from, bytes)) = self.datagrams.try_remove(at) else { return };
                 if lives(self, s, run) {
                     self.feed(s, Event::Peer(PeerId(from as u32), bytes));
                 }
@@ -701,12 +686,7 @@
                 if !self.world.discovery_up() {
                     return self.feed(s, Event::ListFailed);
                 }
-                let (_, entries) = self.world.told(s);
-                let names = &self.nodes[s].names;
-                let mut entries: Vec<_> =
-                    entries.iter().map(|e| settings::worker(&self.world, names, e)).collect();
-                entries.retain(|e| e.state != loomlb_decide::WorkerState::Gone);
-                self.feed(s, Event::Workers { kind: ListKind::Complete, entries });
+                self.tell_list(s, ListKind::Complete);
             }
             // Of a run that is over.
             _ => {}
@@ -719,17 +699,7 @@
                 if !self.world.reachable(s, worker) {
                     return;
                 }
-                let kept = Some((request, job, word, report.map(told)));
-                let at = match self.free_words.pop() {
-                    Some(at) => {
-                        self.words[at] = kept;
-                        at
-                    }
-                    None => {
-                        self.words.push(kept);
-                        self.words.len() - 1
-                    }
-                };
+                let at = self.words.insert((request, job, word, report.map(told)));
                 let (way, run) = (self.way_to_worker(), self.nodes[s].run);
                 self.push(self.now + way, Due::Word(s, run, at));
             }
@@ -821,7 +791,7 @@
     fn start(&mut self, s: usize) {
         let run = self.nodes[s].run;
         self.nodes[s] = Node { run, ..self.fresh(s) };
-        self.introduce(s);
+        self.tell_list(s, ListKind::Persisted);
     }
 
     // ---- clients
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -751,11 +751,7 @@
         } else if let Some(out) = self.jobs.get_mut(&job) {
             out.given_up = true;
         }
-        let mut said = std::mem::take(&mut self.said);
-        self.stations[w].worker.advance(now, &mut said);
-        self.pass_on(w, &mut said);
-        self.said = said;
-        self.enqueue(w);
+        self.bring_up(now, w);
     }
 
     /// A scheduler has ended: nobody waits for its jobs any more. They run on, and their words reach whatever runs
--- a/crates/quota/src/core.rs
+++ b/crates/quota/src/core.rs
@@ -141,6 +141,13 @@
     borrowed_at: Nanos,
 }
 
+impl Bucket {
+    /// What this node has borrowed from above of late.
+    fn borrowed_of_late(&self, now: Nanos) -> f64 {
+        self.borrowed * (-(now.saturating_sub(self.borrowed_at) as f64 / RECENT as f64)).exp()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Node {
     name: String,
@@ -610,8 +617,7 @@
             }
             self.refill(a, m);
             let (weight, own) = (self.nodes[child].weight, &self.nodes[child].flows[m]);
-            let recent = now.saturating_sub(own.borrowed_at) as f64 / RECENT as f64;
-            let rate = own.borrowed * (-recent).exp();
+            let rate = own.borrowed_of_late(now);
             let others = if own.borrowing { 0.0 } else { weight };
             let b = &mut self.nodes[a].flows[m];
             if credit >= amount {
@@ -646,8 +652,7 @@
                 let child = self.path(n).take_while(|i| *i != a).last().unwrap_or(n);
                 let (now, weight) = (self.now, self.nodes[child].weight);
                 let b = &mut self.nodes[child].flows[m];
-                let recent = now.saturating_sub(b.borrowed_at) as f64 / RECENT as f64;
-                (b.borrowed, b.borrowed_at) = (b.borrowed * (-recent).exp() + amount, now);
+                (b.borrowed, b.borrowed_at) = (b.borrowed_of_late(now) + amount, now);
                 if !std::mem::replace(&mut b.borrowing, true) {
                     self.nodes[a].flows[m].borrowers += weight;
                     self.wakes.push(Reverse((now + RECENT, Wake::Quiet(child, m))));
