Balance groups by age and kind, bound what leaves them, and learn slots where nothing waits

Counted over the fleet from debug logs (who sent to whom, what was out there, how long jobs were held): nothing was held anywhere, while the workers that stayed had 10 to 25 jobs out on 4 to 6 slots and the newcomers 1 to 5. Three causes: - pick let a job that found no room in its group go to any worker, where others() held the mean of all, 0.8 of the slots at the most, to be true: in a full fleet all schedulers pour their jobs there. Waits met lately (congested) did the same to all. - report() took free slots and jobs held for the size of a worker. Where the head of a queue needs 4 slots, free ones stand beside a long queue, so a crowded worker grew with its crowd. - form_group dealt workers out by their place in a sorted list: groups got any number of cold ones, and every change of the list moved nearly all of them. For near workers others() also preferred the mean to what the group had told. Ruled out: news that no scheduler has.

Change: groups::spread gives each group an equal part of every kind and age, stable when one comes or goes; near load is what the group told; a job waits for its group for half its slack, then leaves it as often as the last ones beyond it found room; slots are learned only from reports where the largest job would fit or one at the most is held.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod api;
 pub mod boot;
 mod fading;
+mod groups;
 mod message;
 mod network;
 pub mod rules;
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -7,6 +7,7 @@
 
 use crate::api::*;
 use crate::fading::{Fading, fade, toward};
+use crate::groups::{lean, spread};
 use crate::message::{Holds, Message};
 pub use crate::network::Network;
 use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share, Told};
@@ -80,9 +81,12 @@
     mean_worth: f64,
     /// Slots that a request takes.
     mean_need: f64,
+    most_need: f64,
     mean_value: f64,
     /// The part of the slots that others hold, over all workers.
     others_part: f64,
+    /// The part of the jobs sent beyond the group of late that found no room there.
+    crowded: f64,
 }
 
 impl Dispatcher {
@@ -244,9 +248,15 @@
             .filter(|&i| group(i) == mine && near[i] != self.set.me)
             .map(|i| near[i])
             .collect();
-        order.sort_by_key(|&w| (self.workers[w].entry.kind, self.workers[w].entry.id));
+        // By what the list says alone: all must come to the same groups, at whatever moment.
+        let like = |w: &usize| (self.workers[*w].entry.started > 0, self.workers[*w].entry.kind);
+        order.sort_by_key(|w| (like(w), self.workers[*w].entry.id));
+        let ids: Vec<u64> = order.iter().map(|&w| self.workers[w].entry.id.0).collect();
+        let sizes: Vec<usize> = order.chunk_by(|a, b| like(a) == like(b)).map(<[usize]>::len).collect();
         self.workers.iter_mut().for_each(|k| k.near = false);
-        order.iter().enumerate().for_each(|(i, &w)| self.workers[w].near = i % groups == mine);
+        for (&w, part) in order.iter().zip(spread(&ids, &sizes, groups)) {
+            self.workers[w].near = part == mine;
+        }
     }
 
     /// Tells the group what is held at a worker.
@@ -329,6 +339,7 @@
         let value = self.value(&job);
         toward(&mut self.mean_value, value, 0.01);
         toward(&mut self.mean_need, job.request.slots, 0.02);
+        self.most_need = self.most_need.max(job.request.slots);
         // Where no report tells of room nothing is held; in overload queues would grow until all is late.
         let patience = self.mean_run + slack * value / self.mean_value.max(1e-9);
         let refuse = self.set.reports == Reports::None && self.zone_wait(self.set.zone.0) > patience;
@@ -445,7 +456,7 @@
         let most = self.set.limits.max_retry_after;
         let slots: f64 = self.workers.iter().filter(|k| k.listed).filter_map(|k| self.slots(k)).sum();
         let before = (1.0 + self.held.len() as f64) * self.mean_need.max(1.0);
-        let wait = self.mean_run * before / slots.max(1.0) * (0.5 + lean_of(KeyId(id.0), WorkerId(0)));
+        let wait = self.mean_run * before / slots.max(1.0) * (0.5 + lean(id.0, 0));
         (wait as Nanos).max(self.set.tick).min(most)
     }
 
@@ -516,8 +527,22 @@
     /// better wait.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         self.form_group();
-        let congested = self.zone_wait(self.set.zone.0) > self.mean_run;
+        let congested = self.set.reports == Reports::None && self.zone_wait(self.set.zone.0) > self.mean_run;
         let among_group = if self.group.is_empty() || congested { None } else { self.pick_among(id, true) };
+        // What is held beyond the group is old news: in a full fleet all would pour their jobs there. So a job
+        // with patience waits for its group, and goes beyond as often as the last ones there found room.
+        let job = self.jobs.get(&id)?;
+        let tied = job.may_have_run().next().is_some();
+        let patient = self.now < job.arrived + job.start_by.saturating_sub(job.arrived) / 2;
+        let stay = patient || self.rng.0.f64() < self.crowded.min(0.98);
+        if among_group.is_none()
+            && !self.group.is_empty()
+            && !tied
+            && stay
+            && self.set.reports == Reports::Answers
+        {
+            return None;
+        }
         among_group.or_else(|| self.pick_among(id, false))
     }
 
@@ -593,7 +618,7 @@
 
     /// How much a job belongs to a worker for its key; all the same without one.
     fn lean(&self, job: &Job, w: usize) -> f64 {
-        job.request.key.map_or(1.0, |k| lean_of(k, self.workers[w].entry.id))
+        job.request.key.map_or(1.0, |k| lean(k.0, self.workers[w].entry.id.0))
     }
 
     /// The part of the workers that a job may go to for its key: about one of its zone at first, all in
@@ -645,7 +670,7 @@
     /// goes to the mean of all, short of full.
     fn others(&self, known: &Known) -> f64 {
         let told: f64 = known.told.iter().map(|t| t.slots.get(self.now, LOST)).sum();
-        if self.all_told() {
+        if self.all_told() || known.near && !self.group.is_empty() {
             return told;
         }
         let slots = self.slots(known).unwrap_or(0.0) * self.warmth(&known.entry, self.now);
@@ -728,6 +753,9 @@
         if note == Note::Started && a.started.is_none() {
             a.started = Some(self.now);
             let (zone, wait) = (a.zone, self.now.saturating_sub(a.sent));
+            if !self.workers[a.worker].near {
+                self.crowded += (f64::from(u8::from(wait as f64 > self.mean_run / 8.0)) - self.crowded) * 0.3;
+            }
             self.waited(zone, wait as f64);
         }
     }
@@ -739,11 +767,21 @@
         let held = finite(report.in_flight);
         let free = finite(report.free_slots).filter(|_| self.set.free_slots_reported);
         if let Some(free) = free.filter(|&f| f > 0.5) {
-            let slots = free + held.unwrap_or(known.own).max(0.0);
+            // Slots may be free while jobs wait behind one that needs more: only where the largest would fit is
+            // all that is held in work. A full worker would else look larger the more wait there.
+            let clear = free >= self.most_need || held.is_some_and(|h| h <= 1.0);
+            let held = held.unwrap_or(known.own).max(0.0);
+            let slots = free + if clear { held } else { held.min(1.0) };
             let of_kind = self.kind_slots.get_mut(known.entry.kind.0);
             for s in [Some(known.slots.get_or_insert(slots)), of_kind].into_iter().flatten() {
                 // Without a count of what is held there, others' jobs hide slots: the most seen is nearest.
-                let down = if held.is_some() { 0.03 } else { 0.002 };
+                let down = if !clear {
+                    0.0
+                } else if report.in_flight.is_some() {
+                    0.03
+                } else {
+                    0.002
+                };
                 *s += (slots - *s) * if slots > *s { 0.3 } else { down };
             }
         }
@@ -829,12 +867,3 @@
         self.serve_held(out);
     }
 }
-
-/// From 0 to 1, how much a key belongs to a worker: the same at every dispatcher, without a word between
-/// them.
-fn lean_of(key: KeyId, worker: WorkerId) -> f64 {
-    let mut x = key.0 ^ worker.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (x ^ (x >> 31)) as f64 / u64::MAX as f64
-}
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -682,6 +682,78 @@
     assert!((10..=30).contains(&to_reported), "{to_reported} of 40");
 }
 
+/// Where the head of a queue needs more slots than are free, the rest wait behind it: such a worker is full, however
+/// many of its slots are free. Counting what waits as slots had a crowded worker grow with its crowd.
+#[test]
+fn what_waits_behind_a_large_job_is_not_taken_for_slots() {
+    let set = Settings { reports: Reports::Answers, free_slots_reported: true, ..settings(Effect::Safe) };
+    let mut stage = Stage::new(set, &workers(1));
+    let large = Request { slots: 4.0, ..Request::new(RequestId(1000), ClassId(0), 4 * S) };
+    stage.event(Event::Request(large));
+    let seen = |held: f64, free: f64| {
+        Some(Report { in_flight: Some(held), free_slots: Some(free), ..Report::default() })
+    };
+    let ends = |stage: &mut Stage, id, report| {
+        let ended = Ended { outcome: Outcome::Served, latency: 100 * MS, closed: true, report };
+        stage.event(Event::Ended { id, attempt: 0, ended });
+    };
+    ends(&mut stage, RequestId(1000), seen(0.0, 5.0));
+    for _ in 0..20 {
+        let (id, actions) = stage.request(4 * S);
+        assert_eq!(sent(&actions).len(), 1);
+        // Two run, three of five slots are free, and twelve wait behind one that needs four.
+        ends(&mut stage, id, seen(14.0, 3.0));
+    }
+    let taken = (0..12).filter(|_| !sent(&stage.request(4 * S).1).is_empty()).count();
+    assert!((4..=5).contains(&taken), "{taken} jobs for five slots");
+}
+
+/// In a fleet that is full, what is held beyond the own group is old news at best. Were every job to go there that
+/// finds no room near, each would, and the workers' queues grow until all is late.
+#[test]
+fn jobs_wait_for_their_group_and_leave_it_as_often_as_the_last_found_room() {
+    let mut set = settings(Effect::Safe);
+    (set.reports, set.free_slots_reported) = (Reports::Answers, true);
+    (set.dispatchers, set.zones, set.limits.peers) = (32, 1, true);
+    let beyond = |wait: Nanos| {
+        let mut stage = Stage { dispatcher: Dispatcher::new(set.clone(), 5), now: S, next: 0 };
+        stage.list(ListKind::Complete, &workers(32));
+        for peer in 1..32 {
+            stage.event(Event::Peer(PeerId(peer), Message::Here(ZoneId(0)).bytes()));
+        }
+        let (mut used, mut left) = (std::collections::BTreeSet::new(), 0);
+        for turn in 0..400 {
+            let (id, mut actions) = stage.request(4 * S);
+            // Held for longer than half of its slack, and looked at again.
+            if sent(&actions).is_empty() {
+                stage.now += 300 * MS;
+                actions = stage.event(Event::Timer(2));
+            }
+            let Some(&to) = sent(&actions).last() else { continue };
+            left += u32::from(turn >= 200 && !used.contains(&to));
+            if turn < 40 {
+                used.insert(to);
+            }
+            stage.now += wait;
+            stage.event(Event::Note(id, 0, Note::Started));
+            // The group is full from the fortieth job on, by the word of a peer of it.
+            for &worker in used.iter().filter(|_| turn >= 40) {
+                let holds = Holds { worker, slots: 9, turn: turn as u16, failed: false };
+                stage.event(Event::Peer(PeerId(1), Message::Holds(holds).bytes()));
+            }
+            stage.now += 100 * MS;
+            let report = Some(Report { in_flight: Some(0.0), free_slots: Some(4.0), ..Report::default() });
+            let ended = Ended { outcome: Outcome::Served, latency: 100 * MS + wait, closed: true, report };
+            stage.event(Event::Ended { id, attempt: 0, ended });
+        }
+        assert_eq!(used.len(), 8, "eight of 32 workers are a group's: {used:?}");
+        left
+    };
+    let (room, none) = (beyond(0), beyond(200 * MS));
+    assert!(room > 100, "{room} of 200 jobs found the way to where there is room");
+    assert!(none < room / 4, "{none} of 200 jobs left for where there is none, {room} for where there is");
+}
+
 #[test]
 fn a_job_waits_here_rather_than_at_a_worker_that_is_full() {
     let set = Settings { reports: Reports::Answers, free_slots_reported: true, ..settings(Effect::Safe) };
