Cold budgets by group, words to the worker's group, and one draw whether a job leaves its group

Causes, counted from debug logs and a probe that printed what is believed at each send (removed again): - Words on a job sent beyond the own group went to the sender's group, which does not use that worker: schedulers believed 1.5 slots held where 10 to 14 jobs were. They go to the worker's group now (tell, groups). - After a restart by the dozen Hellos cross: a scheduler that started within 100 ms of another never learned of it, so groups differed (13 of 81 workers in several) and words were missing. In one zone peers are known from the settings; a stranger's Hello is answered always. Here tells how many slots workers of each kind have: a full worker never shows it. - cold_cost gave each of 100 schedulers a hundredth of a cold worker's budget, of whom only the 12 of its group use it: cold workers held 0.6 of 2.5 slots while 30 % was refused. In one zone a cold worker now belongs to one group, by its id and the settings alone, whatever list one has, and its members share the budget: the parts still add up to one. - The dice for leaving the group were thrown at every look, each 9 ms: a chance of a tenth became a half. Drawn by the job's id now; and a full group is half a sign that all are full. - RESERVE 0.5 left room at each worker for valuable jobs; in groups of 12 there are always some slots, 0.2 serves more. - A kind's slots were learned from 0 upwards (toward by 0.3); the first report counts whole.

--- a/crates/decide/src/message.rs
+++ b/crates/decide/src/message.rs
@@ -2,13 +2,14 @@
 
 use crate::api::{WorkerId, ZoneId};
 
-/// A message to a peer: 2 or 8 bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A message to a peer: 8 bytes, or 2 and one for each kind of worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
     /// I have started, in this zone; who is there?
     Hello(ZoneId),
-    /// I am here, in this zone.
-    Here(ZoneId),
+    /// I am here, in this zone; workers of the kinds, in their order, have so many slots in eighths, 0 where
+    /// nothing has shown it.
+    Here(ZoneId, Vec<u8>),
     /// What I hold at a worker has changed.
     Holds(Holds),
 }
@@ -27,13 +28,18 @@
     pub failed: bool,
 }
 
+/// The most kinds whose size one message tells.
+const KINDS: usize = 64;
+
 impl Message {
     /// The bytes of the message. Zones beyond 255 and worker ids beyond 32 bits are cut short: what is then
     /// taken for another's news is load that soon fades.
     pub fn bytes(self) -> Vec<u8> {
         let Holds { worker, slots, turn, failed } = match self {
             Message::Hello(zone) => return vec![0, zone.0 as u8],
-            Message::Here(zone) => return vec![1, zone.0 as u8],
+            Message::Here(zone, sizes) => {
+                return [1, zone.0 as u8].into_iter().chain(sizes.into_iter().take(KINDS)).collect();
+            }
             Message::Holds(holds) => holds,
         };
         let [low, high] = turn.to_le_bytes();
@@ -45,7 +51,9 @@
     pub fn read(bytes: &[u8]) -> Option<Message> {
         match *bytes {
             [0, zone] => Some(Message::Hello(ZoneId(zone.into()))),
-            [1, zone] => Some(Message::Here(ZoneId(zone.into()))),
+            [1, zone, ref sizes @ ..] if sizes.len() <= KINDS => {
+                Some(Message::Here(ZoneId(zone.into()), sizes.to_vec()))
+            }
             [word @ (5 | 6), slots, low, high, a, b, c, d] => Some(Message::Holds(Holds {
                 worker: WorkerId(u32::from_le_bytes([a, b, c, d]).into()),
                 slots,
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -7,7 +7,7 @@
 
 use crate::api::*;
 use crate::fading::{Fading, fade, toward};
-use crate::groups::{lean, spread};
+use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
 pub use crate::network::Network;
 use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share, Told};
@@ -38,14 +38,14 @@
 /// A peer's word that is overtaken by a later one comes within this time of it.
 const LATE: Nanos = 10_000_000_000;
 /// Part of a worker's slots that a request worth nothing leaves free.
-const RESERVE: f64 = 0.5;
+const RESERVE: f64 = 0.2;
 /// Standard deviations kept free below a cold worker's limit.
 const COLD_SIGMAS: f64 = 3.5;
 
 /// Tokens of the timers: ask for the list, look at the held requests now and then, or once.
 const WATCH: u64 = 1;
 /// Dispatchers of a zone that tell each other of every send.
-const GROUP: usize = 8;
+const GROUP: usize = 12;
 const HELD: u64 = 2;
 const SOON: u64 = 3;
 /// Workers asked before a send, where a probe costs no more than this part of the worth of a request.
@@ -69,6 +69,7 @@
     held_timer: bool,
     peers: std::collections::BTreeMap<PeerId, ZoneId>,
     group: Vec<PeerId>,
+    groups: Vec<Vec<PeerId>>,
     regroup: bool,
     /// Words told to the group so far.
     turn: u16,
@@ -162,6 +163,9 @@
         let first = !std::mem::replace(&mut self.listed_once, true);
         if first && self.set.limits.peers {
             self.born = self.now;
+            // In one zone nobody has to be asked who is near; a start by the dozen would miss many a word.
+            let all = (0..self.set.dispatchers).filter(|_| self.set.zones <= 1);
+            self.peers.extend(all.map(|p| (PeerId(p), self.set.zone)));
             out.push(Action::Tell(Receiver::All, Message::Hello(self.set.zone).bytes()));
         }
         if first && self.set.ask_for_list {
@@ -229,9 +233,9 @@
     // ---- peers
 
     /// Where peers may be told things, the dispatchers of a zone form small groups, and each group looks
-    /// first at its part of the zone's workers, an equal part of every kind. In a group each tells the
-    /// others what it sends and what ends, so a few know all that is in flight on a few workers, and
-    /// nobody else is told.
+    /// first at its part of the zone's workers, an equal part as they are now. Whoever sends to a worker tells
+    /// its group of that and of the end, so a few know all that is in flight on a few workers, and nobody
+    /// else is told.
     fn form_group(&mut self) {
         if !std::mem::take(&mut self.regroup) || self.peers.is_empty() {
             return;
@@ -241,46 +245,49 @@
         let near: Vec<PeerId> = near.collect();
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|&w| self.workers[w].listed && self.workers[w].entry.zone == self.set.zone);
-        let groups = near.len().div_ceil(GROUP).min(order.len().div_ceil(GROUP)).max(1);
-        let group = |i: usize| i * groups / near.len();
-        let mine = group(near.iter().position(|p| *p == self.set.me).unwrap_or(0));
-        self.group = (0..near.len())
-            .filter(|&i| group(i) == mine && near[i] != self.set.me)
-            .map(|i| near[i])
-            .collect();
-        // By what the list says alone: all must come to the same groups, at whatever moment.
-        let like = |w: &usize| (self.workers[*w].entry.started > 0, self.workers[*w].entry.kind);
-        order.sort_by_key(|w| (like(w), self.workers[*w].entry.id));
-        let ids: Vec<u64> = order.iter().map(|&w| self.workers[w].entry.id.0).collect();
-        let sizes: Vec<usize> = order.chunk_by(|a, b| like(a) == like(b)).map(<[usize]>::len).collect();
-        self.workers.iter_mut().for_each(|k| k.near = false);
-        for (&w, part) in order.iter().zip(spread(&ids, &sizes, groups)) {
-            self.workers[w].near = part == mine;
-        }
-    }
-
-    /// Tells the group what is held at a worker.
+        // As many groups as the settings make, or fewer where they would have hardly a worker each.
+        let tier = Tier::new(near.len(), near.len().div_ceil(GROUP).min(order.len().div_ceil(4)).max(1));
+        let mine = tier.group(near.iter().position(|p| *p == self.set.me).unwrap_or(0));
+        let members = |g| tier.members(g).map(|i| near[i]).filter(|p| *p != self.set.me).collect();
+        self.groups = (0..tier.groups).map(members).collect();
+        self.group = self.groups[mine].clone();
+        order.sort_by_key(|&w| self.workers[w].entry.id);
+        let young = |w: usize| self.warmth(&self.workers[w].entry, self.now) < 1.0;
+        let ids: Vec<(u64, bool)> = order.iter().map(|&w| (self.workers[w].entry.id.0, young(w))).collect();
+        self.workers.iter_mut().for_each(|k| (k.near, k.part) = (false, mine));
+        for (&w, part) in order.iter().zip(tier.deal(&ids)) {
+            (self.workers[w].near, self.workers[w].part) = (part == mine, part);
+        }
+    }
+
+    /// Tells the group that looks first at a worker what is held there now.
     fn tell(&mut self, w: usize, failed: bool, out: &mut Vec<Action>) {
         self.turn = self.turn.wrapping_add(1);
         let known = &self.workers[w];
         let holds = Holds { worker: known.entry.id, slots: known.own as u8, turn: self.turn, failed };
         let bytes = Message::Holds(holds).bytes();
-        out.extend(self.group.iter().map(|&p| Action::Tell(Receiver::One(p), bytes.clone())));
+        let group = self.groups.get(known.part).unwrap_or(&self.group);
+        out.extend(group.iter().map(|&p| Action::Tell(Receiver::One(p), bytes.clone())));
     }
 
     fn peer(&mut self, from: PeerId, message: Message, out: &mut Vec<Action>) {
         let zone = match message {
             Message::Holds(holds) => return self.told(from, holds),
-            Message::Hello(zone) | Message::Here(zone) => zone,
+            Message::Hello(zone) | Message::Here(zone, _) => zone,
         };
-        self.regroup |= self.peers.insert(from, zone).is_none();
-        if message == Message::Hello(zone) {
-            // It has started, and whatever it held before is over without a word.
-            self.workers.iter_mut().for_each(|k| k.told.retain(|t| t.peer != from));
-            // One that starts later than the others has missed their words.
-            if self.now > self.born + 100_000_000 {
-                out.push(Action::Tell(Receiver::One(from), Message::Here(self.set.zone).bytes()));
-            }
+        let stranger = self.peers.insert(from, zone).is_none();
+        self.regroup |= stranger;
+        if let Message::Here(_, sizes) = message {
+            // How large workers are it has yet to learn, and a full one never shows.
+            let own = self.kind_slots.iter_mut().zip(sizes).filter(|(own, _)| **own == 0.0);
+            return own.for_each(|(own, size)| *own = f64::from(size) / 8.0);
+        }
+        // It has started, and whatever it held before is over without a word.
+        self.workers.iter_mut().for_each(|k| k.told.retain(|t| t.peer != from));
+        // One that starts later than the others has missed their words.
+        if stranger || self.now > self.born + 100_000_000 {
+            let sizes = self.kind_slots.iter().map(|s| (s * 8.0) as u8).collect();
+            out.push(Action::Tell(Receiver::One(from), Message::Here(self.set.zone, sizes).bytes()));
         }
     }
 
@@ -533,8 +540,13 @@
         // with patience waits for its group, and goes beyond as often as the last ones there found room.
         let job = self.jobs.get(&id)?;
         let tied = job.may_have_run().next().is_some();
+        if self.now == job.arrived {
+            // A full group is half a sign that all are full.
+            let full = if among_group.is_none() { 0.5 } else { 0.0 };
+            self.crowded += (full - self.crowded) * 0.1;
+        }
         let patient = self.now < job.arrived + job.start_by.saturating_sub(job.arrived) / 2;
-        let stay = patient || self.rng.0.f64() < self.crowded.min(0.98);
+        let stay = patient || lean(id.0, 0) > (1.0 - self.crowded).powi(2).max(0.02);
         if among_group.is_none()
             && !self.group.is_empty()
             && !tied
@@ -719,7 +731,15 @@
         let b = COLD_SIGMAS * (2.0 * job / budget).sqrt();
         let part = (((b * b + 4.0).sqrt() - b) / 2.0).powi(2);
         let rate = rules.fall_multiple * (before + warmth) / 2.0 * capacity;
-        let rate = rate / f64::from(self.set.dispatchers.max(1));
+        // In one zone a cold worker is its group's alone, by what the settings and its id say, whatever a list may.
+        let all = self.set.dispatchers.max(1) as usize;
+        let split = if self.set.zones <= 1 && self.set.limits.peers { all.div_ceil(GROUP) } else { 1 };
+        let tier = Tier::new(all, split);
+        let sharers = tier.members(tier.home(known.entry.id.0));
+        if split > 1 && !sharers.contains(&(self.set.me.0 as usize)) {
+            return Some((job / part, f64::NEG_INFINITY));
+        }
+        let rate = rate / sharers.len() as f64;
         let waited = self.now.saturating_sub(known.cold_at) as f64;
         let credit = known.cold_credit + rate * waited - known.cold_phase * job / part;
         Some((job / part, credit.min(0.0)))
@@ -767,23 +787,8 @@
         let held = finite(report.in_flight);
         let free = finite(report.free_slots).filter(|_| self.set.free_slots_reported);
         if let Some(free) = free.filter(|&f| f > 0.5) {
-            // Slots may be free while jobs wait behind one that needs more: only where the largest would fit is
-            // all that is held in work. A full worker would else look larger the more wait there.
-            let clear = free >= self.most_need || held.is_some_and(|h| h <= 1.0);
-            let held = held.unwrap_or(known.own).max(0.0);
-            let slots = free + if clear { held } else { held.min(1.0) };
             let of_kind = self.kind_slots.get_mut(known.entry.kind.0);
-            for s in [Some(known.slots.get_or_insert(slots)), of_kind].into_iter().flatten() {
-                // Without a count of what is held there, others' jobs hide slots: the most seen is nearest.
-                let down = if !clear {
-                    0.0
-                } else if report.in_flight.is_some() {
-                    0.03
-                } else {
-                    0.002
-                };
-                *s += (slots - *s) * if slots > *s { 0.3 } else { down };
-            }
+            known.learn_size(of_kind, free, held, self.most_need);
         }
         let queue = finite(report.queue).unwrap_or(0.0);
         let held = held
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -10,6 +10,8 @@
     pub(crate) listed: bool,
     /// It belongs to the part of the zone that this dispatcher's group looks at first.
     pub(crate) near: bool,
+    /// The group that it belongs to.
+    pub(crate) part: usize,
     /// Own attempts out, and the slots that they take.
     pub(crate) attempts: u32,
     /// The most of them at once since idle connections were closed.
@@ -48,6 +50,33 @@
         if self.attempts == 0 { 0.0 } else { now.saturating_sub(self.heard) as f64 }
     }
 
+    /// Learns how many slots it has, and workers of its kind, from a report of its free ones and of the jobs held.
+    /// Slots may be free while jobs wait behind one that needs more: only where the largest seen, `most`, would
+    /// fit is all that is held in work. A full worker would else look larger the more wait there.
+    pub(crate) fn learn_size(&mut self, of_kind: Option<&mut f64>, free: f64, held: Option<f64>, most: f64) {
+        let clear = free >= most || held.is_some_and(|h| h <= 1.0);
+        let jobs = held.unwrap_or(self.own).max(0.0);
+        let slots = free + if clear { jobs } else { jobs.min(1.0) };
+        for s in [Some(self.slots.get_or_insert(slots)), of_kind].into_iter().flatten() {
+            // Without a count of what is held there, others' jobs hide slots: the most seen is nearest.
+            let down = if !clear {
+                0.0
+            } else if held.is_some() {
+                0.03
+            } else {
+                0.002
+            };
+            *s += (slots - *s)
+                * if *s == 0.0 {
+                    1.0
+                } else if slots > *s {
+                    0.3
+                } else {
+                    down
+                };
+        }
+    }
+
     pub(crate) fn failed(&mut self, now: Nanos, span: f64) {
         self.failures.set(now, self.failures.get(now, span) + 1.0);
     }
