--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -31,6 +31,9 @@
     "all",
     "every",
     "surge",
+    "herd",
+    "zone",
+    "join",
     "large",
     "huge",
 ];
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -35,6 +35,25 @@
     assert!(TroubleKind::ALL.iter().all(|k| kinds.contains(k)));
 }
 
+/// Where a hundred schedulers each see few requests, those that look first at workers of their own know what is held there.
+/// Each that goes by its own jobs alone crowds some workers and leaves others idle, most of all while many are cold.
+#[test]
+fn a_hundred_schedulers_beat_textbook_policies_while_most_of_the_fleet_changes() {
+    for (name, least) in [("herd", 0.05), ("zone", 0.05), ("join", 0.1)] {
+        let day = day(name);
+        let module = simulate::run(&day, 3, 2);
+        for idea in [Idea::TwoChoices, Idea::Random] {
+            let make = move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
+            let other = simulate::run_with(&day, 3, 2, &make).figures.service;
+            assert!(
+                module.figures.service > other + least,
+                "{name}: {} against {other}",
+                module.figures.service
+            );
+        }
+    }
+}
+
 /// One seed is one day: with any number of threads, in another process with other hash seeds, and not with another
 /// seed.
 #[test]
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -548,9 +548,9 @@
     Drain,
     /// All workers drain one after the other, `every_s` apart.
     RollingRestart,
-    /// A scheduler is killed outright and starts again.
+    /// A `part` of the schedulers, one at the least, are killed outright at once and start again.
     SchedulerKill,
-    /// A scheduler is asked to end (SIGTERM) and starts again.
+    /// A `part` of the schedulers, one at the least, are asked to end (SIGTERM) at once and start again.
     SchedulerTerm,
     /// Discovery does not answer.
     DiscoveryDown,
@@ -660,7 +660,7 @@
             need(&key("error_rate"), part(k.error_rate), "a part is from 0 to 1");
         }
         let s = &self.schedulers;
-        need("schedulers.count", (1..=64).contains(&s.count), "1 to 64 schedulers are possible");
+        need("schedulers.count", (1..=128).contains(&s.count), "1 to 128 schedulers are possible");
         need("schedulers.notice_ms", later(s.notice_ms), "a range of times is [least, most], 0 or more");
         need("schedulers.restart_ms", time(s.restart_ms), "a time is 0 or more");
         match (self.load.part, self.load.rate_per_s) {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -879,7 +879,7 @@
             | TroubleKind::Drain
             | TroubleKind::Partition => rng.some(t.part, workers),
             TroubleKind::RollingRestart => (0..workers).collect(),
-            TroubleKind::SchedulerKill | TroubleKind::SchedulerTerm => vec![rng.below(schedulers)],
+            TroubleKind::SchedulerKill | TroubleKind::SchedulerTerm => rng.some(t.part, schedulers),
             _ => Vec::new(),
         };
         let chosen = self.chosen[i].clone();
@@ -918,10 +918,12 @@
             }
             TroubleKind::SchedulerKill | TroubleKind::SchedulerTerm => {
                 let kill = t.kind == TroubleKind::SchedulerKill;
-                self.counters.killed += u64::from(kill);
-                self.counters.termed += u64::from(!kill);
                 let signal = if kill { Signal::Kill } else { Signal::Term };
-                self.deeds.push_back(Deed::Signal(chosen[0], signal));
+                for s in chosen {
+                    self.counters.killed += u64::from(kill);
+                    self.counters.termed += u64::from(!kill);
+                    self.deeds.push_back(Deed::Signal(s, signal));
+                }
             }
             TroubleKind::DiscoveryDown => {
                 self.discovery_down += 1;
