Forget what a peer held once it is silent beyond its own measure

Change: each peer's mean time between words is kept; after 1 s and eight of these without a word, what it told is dropped.

Measured: in the test the worker is used again 2.3 s after the last word instead of not at all; the test fails without the call.

--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -10,7 +10,7 @@
 use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
 pub use crate::network::Network;
-use crate::state::{Attempt, Job, Known, Learned, Random, Repeat, Share, Told};
+use crate::state::{Attempt, Job, Known, Learned, Peer, Random, Repeat, Share};
 use rustc_hash::FxHashMap;
 
 /// Seconds over which a tenant's use is averaged and may run ahead of its share.
@@ -67,7 +67,7 @@
     jobs: FxHashMap<RequestId, Job>,
     held: Vec<RequestId>,
     held_timer: bool,
-    peers: std::collections::BTreeMap<PeerId, ZoneId>,
+    peers: std::collections::BTreeMap<PeerId, Peer>,
     group: Vec<PeerId>,
     groups: Vec<Vec<PeerId>>,
     regroup: bool,
@@ -165,7 +165,7 @@
             self.born = self.now;
             // In one zone nobody has to be asked who is near; a start by the dozen would miss many a word.
             let all = (0..self.set.dispatchers).filter(|_| self.set.zones <= 1);
-            self.peers.extend(all.map(|p| (PeerId(p), self.set.zone)));
+            self.peers.extend(all.map(|p| (PeerId(p), Peer::new(self.set.zone, self.now))));
             out.push(Action::Tell(Receiver::All, Message::Hello(self.set.zone).bytes()));
         }
         if first && self.set.ask_for_list {
@@ -240,8 +240,8 @@
         if !std::mem::take(&mut self.regroup) || self.peers.is_empty() {
             return;
         }
-        self.peers.insert(self.set.me, self.set.zone);
-        let near = self.peers.iter().filter(|p| *p.1 == self.set.zone).map(|p| *p.0);
+        self.peers.insert(self.set.me, Peer::new(self.set.zone, self.now));
+        let near = self.peers.iter().filter(|p| p.1.zone == self.set.zone).map(|p| *p.0);
         let near: Vec<PeerId> = near.collect();
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|&w| self.workers[w].listed && self.workers[w].entry.zone == self.set.zone);
@@ -271,11 +271,12 @@
     }
 
     fn peer(&mut self, from: PeerId, message: Message, out: &mut Vec<Action>) {
+        self.peers.get_mut(&from).into_iter().for_each(|p| p.hear(self.now));
         let zone = match message {
             Message::Holds(holds) => return self.told(from, holds),
             Message::Hello(zone) | Message::Here(zone, _) => zone,
         };
-        let stranger = self.peers.insert(from, zone).is_none();
+        let stranger = self.peers.insert(from, Peer::new(zone, self.now)).is_none();
         self.regroup |= stranger;
         if let Message::Here(_, sizes) = message {
             // How large workers are it has yet to learn, and a full one never shows.
@@ -297,14 +298,16 @@
         if holds.failed {
             known.failed(self.now, FORGET);
         }
-        let mut slots = Fading::default();
-        slots.set(self.now, holds.slots.into());
-        let word = Told { peer, turn: holds.turn, slots, at: self.now };
-        match known.told.iter_mut().find(|t| t.peer == peer) {
-            // Words may overtake each other, but not by so long that their turns could have come round.
-            Some(last) if holds.turn.wrapping_sub(last.turn) > u16::MAX / 2 && self.now < last.at + LATE => {}
-            Some(last) => *last = word,
-            None => known.told.push(word),
+        known.hear(peer, holds, self.now, LATE);
+    }
+
+    /// Forgets what those told that have ended: they are silent beyond measure, and their jobs are over.
+    fn forget_silent(&mut self) {
+        let now = self.now;
+        let gone = self.peers.iter_mut().filter_map(|(id, p)| p.falls_silent(now).then_some(*id));
+        let gone: Vec<PeerId> = gone.collect();
+        if !gone.is_empty() {
+            self.workers.iter_mut().for_each(|k| k.told.retain(|t| !gone.contains(&t.peer)));
         }
     }
 
@@ -534,6 +537,7 @@
     /// better wait.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         self.form_group();
+        self.forget_silent();
         let congested = self.set.reports == Reports::None && self.zone_wait(self.set.zone.0) > self.mean_run;
         let among_group = if self.group.is_empty() || congested { None } else { self.pick_among(id, true) };
         // What is held beyond the group is old news: in a full fleet all would pour their jobs there. So a job
@@ -547,12 +551,8 @@
         }
         let patient = self.now < job.arrived + job.start_by.saturating_sub(job.arrived) / 2;
         let stay = patient || lean(id.0, 0) > (1.0 - self.crowded).powi(2).max(0.02);
-        if among_group.is_none()
-            && !self.group.is_empty()
-            && !tied
-            && stay
-            && self.set.reports == Reports::Answers
-        {
+        let grouped = self.set.reports == Reports::Answers && !self.group.is_empty();
+        if among_group.is_none() && grouped && !tied && stay {
             return None;
         }
         among_group.or_else(|| self.pick_among(id, false))
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::fading::{Fading, fade};
+use crate::message::Holds;
 
 /// What is known of a worker.
 #[derive(Debug, Default)]
@@ -77,6 +78,19 @@
         }
     }
 
+    /// Takes in what a peer says that it holds here, unless a later word has overtaken it. That comes within `late`: not so
+    /// long that the turns could have come round.
+    pub(crate) fn hear(&mut self, peer: PeerId, holds: Holds, now: Nanos, late: Nanos) {
+        let mut slots = Fading::default();
+        slots.set(now, holds.slots.into());
+        let word = Told { peer, turn: holds.turn, slots, at: now };
+        match self.told.iter_mut().find(|t| t.peer == peer) {
+            Some(last) if holds.turn.wrapping_sub(last.turn) > u16::MAX / 2 && now < last.at + late => {}
+            Some(last) => *last = word,
+            None => self.told.push(word),
+        }
+    }
+
     pub(crate) fn failed(&mut self, now: Nanos, span: f64) {
         self.failures.set(now, self.failures.get(now, span) + 1.0);
     }
@@ -91,6 +105,34 @@
     pub(crate) at: Nanos,
 }
 
+/// What is known of a peer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peer {
+    pub(crate) zone: ZoneId,
+    heard: Nanos,
+    /// Mean time between its words.
+    gap: f64,
+    silent: bool,
+}
+
+impl Peer {
+    pub(crate) fn new(zone: ZoneId, now: Nanos) -> Peer {
+        Peer { zone, heard: now, gap: 5e8, silent: false }
+    }
+
+    /// It has said something.
+    pub(crate) fn hear(&mut self, now: Nanos) {
+        self.gap += (now.saturating_sub(self.heard) as f64 - self.gap) * 0.1;
+        (self.heard, self.silent) = (now, false);
+    }
+
+    /// Whether it has come to be silent for so long, by its own measure, that it has likely ended; true once.
+    pub(crate) fn falls_silent(&mut self, now: Nanos) -> bool {
+        let silent = now.saturating_sub(self.heard) as f64 > 1e9 + 8.0 * self.gap;
+        silent && !std::mem::replace(&mut self.silent, true)
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) worker: usize,
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -759,6 +759,42 @@
     assert!(said.contains(&Action::Tell(Receiver::One(PeerId(2)), here)), "{said:?}");
 }
 
+/// A scheduler that is killed says nothing of the end of its jobs. What it held would else count for a minute, and in a
+/// tier of which most is dead the workers would look full.
+#[test]
+fn what_a_peer_held_is_forgotten_once_it_is_silent_beyond_its_measure() {
+    let mut set = settings(Effect::Safe);
+    (set.reports, set.free_slots_reported) = (Reports::Answers, true);
+    (set.dispatchers, set.zones, set.limits.peers) = (3, 1, true);
+    let mut stage = Stage::new(set, &workers(1));
+    stage.event(Event::Peer(PeerId(1), Message::Here(ZoneId(0), vec![32]).bytes()));
+    let mut turn = 0;
+    let mut says = |stage: &mut Stage, peer: u32, slots| {
+        turn += 1;
+        let holds = Holds { worker: WorkerId(1), slots, turn, failed: false };
+        stage.event(Event::Peer(PeerId(peer), Message::Holds(holds).bytes()));
+    };
+    let mut taken = Vec::new();
+    for step in 0..80 {
+        stage.now += 100 * MS;
+        says(&mut stage, 2, 0);
+        if step < 40 {
+            says(&mut stage, 1, 4);
+        }
+        let (id, actions) = stage.request(50 * MS);
+        if !sent(&actions).is_empty() {
+            taken.push(step);
+            stage.ends(id, 0, Outcome::Served);
+        }
+        stage.now += 60 * MS;
+        stage.event(Event::Timer(2));
+    }
+    // Its words came every 160 ms, so it counts as gone after some 2.3 s, 15 steps, and not before 1 s.
+    let first = taken.first().copied().unwrap_or(usize::MAX);
+    assert!((47..=60).contains(&first), "the worker is used again from step {first} on: {taken:?}");
+    assert!(taken.len() > 15, "{taken:?}");
+}
+
 /// In a fleet that is full, what is held beyond the own group is old news at best. Were every job to go there that
 /// finds no room near, each would, and the workers' queues grow until all is late.
 #[test]
