--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -233,7 +233,7 @@
     // ---- peers
 
     /// Where peers may be told things, the dispatchers of a zone form small groups, and each group looks
-    /// first at its part of the zone's workers, an equal part as they are now. Whoever sends to a worker tells
+    /// first at its part of the zone's workers, an equal part of them now. Whoever sends to a worker tells
     /// its group of that and of the end, so a few know all that is in flight on a few workers, and nobody
     /// else is told.
     fn form_group(&mut self) {
@@ -540,7 +540,7 @@
         self.forget_silent();
         let congested = self.set.reports == Reports::None && self.zone_wait(self.set.zone.0) > self.mean_run;
         let among_group = if self.group.is_empty() || congested { None } else { self.pick_among(id, true) };
-        // What is held beyond the group is old news: in a full fleet all would pour their jobs there. So a job
+        // What is held beyond the group is old news: in a full fleet all would pour jobs there. So a job
         // with patience waits for its group, and goes beyond as often as the last ones there found room.
         let job = self.jobs.get(&id)?;
         let tied = job.may_have_run().next().is_some();
@@ -731,7 +731,7 @@
         let b = COLD_SIGMAS * (2.0 * job / budget).sqrt();
         let part = (((b * b + 4.0).sqrt() - b) / 2.0).powi(2);
         let rate = rules.fall_multiple * (before + warmth) / 2.0 * capacity;
-        // In one zone a cold worker is its group's alone, by what the settings and its id say, whatever a list may.
+        // In one zone a cold worker is its group's alone, by the settings and its id, whatever a list says.
         let all = self.set.dispatchers.max(1) as usize;
         let split = if self.set.zones <= 1 && self.set.limits.peers { all.div_ceil(GROUP) } else { 1 };
         let tier = Tier::new(all, split);
