Hand the list's first version over as a value, and say the steps of learn_size in one match

Read again: the version of the list of the start stood in a Cell of the target group, only to be written by start() and read once by follow(); start() returns it now. learn_size had two nested chains of conditions; one match says the same. Behaviour and tests are as they were.

--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -60,21 +60,14 @@
         let slots = free + if clear { jobs } else { jobs.min(1.0) };
         for s in [Some(self.slots.get_or_insert(slots)), of_kind].into_iter().flatten() {
             // Without a count of what is held there, others' jobs hide slots: the most seen is nearest.
-            let down = if !clear {
-                0.0
-            } else if held.is_some() {
-                0.03
-            } else {
-                0.002
+            let part = match *s {
+                0.0 => 1.0,
+                s if slots > s => 0.3,
+                _ if !clear => 0.0,
+                _ if held.is_some() => 0.03,
+                _ => 0.002,
             };
-            *s += (slots - *s)
-                * if *s == 0.0 {
-                    1.0
-                } else if slots > *s {
-                    0.3
-                } else {
-                    down
-                };
+            *s += (slots - *s) * part;
         }
     }
 
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -39,8 +39,6 @@
 pub struct Group {
     targets: RefCell<HashMap<WorkerId, Target>>,
     asked: Notify,
-    /// The version of the list that the configuration brought, if it was a whole one.
-    seq: Cell<Option<u64>>,
     /// Where discovery answers, if a reload has named another address than the start did.
     address: Cell<Option<SocketAddr>>,
     moved: Notify,
@@ -155,8 +153,8 @@
     route::feed(s, Event::Workers { kind, entries });
 }
 
-/// Starts from the list that the configuration brought.
-pub fn start(s: &Rc<Scheduler>) {
+/// Starts from the list that the configuration brought, and returns its version if it was a whole one.
+pub fn start(s: &Rc<Scheduler>) -> Option<u64> {
     let known = match &s.config.known {
         serde_json::Value::Null => List::default(),
         known => List::deserialize(known).unwrap_or_else(|e| {
@@ -164,15 +162,15 @@
             List::default()
         }),
     };
-    s.group.seq.set(known.whole.then_some(known.seq));
+    let seq = known.whole.then_some(known.seq);
     take(s, known, ListKind::Persisted);
+    seq
 }
 
-/// Keeps up with discovery for as long as the program runs. While it is silent the last list stays.
-pub async fn follow(s: Rc<Scheduler>) {
-    // The list of the start has its version: what has changed since is all that is asked for. Were every scheduler
-    // of a large tier to ask for the whole list at its start, the service of the list would fail them all.
-    let mut seq = s.group.seq.get();
+/// Keeps up with discovery for as long as the program runs. While it is silent the last list stays. What has changed
+/// since version `seq` is all that is asked for: were every scheduler of a large tier to ask for the whole list at its
+/// start, the service of the list would fail them all.
+pub async fn follow(s: Rc<Scheduler>, mut seq: Option<u64>) {
     loop {
         if s.config.settings.ask_for_list {
             tokio::select! {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -93,10 +93,10 @@
     reload::start(&s)?;
     let signals = shutdown::Signals::new()?;
     tracing::info!("{} serves at {}", s.config.name, listener.local_addr()?);
-    discovery::start(&s);
+    let seq = discovery::start(&s);
     send::sweep(&s);
     spawn_local(wheel::turn(Rc::clone(&s)));
-    spawn_local(discovery::follow(Rc::clone(&s)));
+    spawn_local(discovery::follow(Rc::clone(&s), seq));
     spawn_local(peers::listen(Rc::clone(&s)));
     if quotas_on {
         spawn_local(peers::share(Rc::clone(&s)));
