--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,181 @@
+//! The state of the service: in, draining, or ending. Health, admission, the listener and SIGTERM ask this one machine.
+
+use super::Nanos;
+use serde::{Deserialize, Serialize};
+
+/// The platform waits this long for what is under way when it asks for the end, and for the longest deadline,
+const NOTICE: Nanos = 700_000_000;
+/// of which it counts no more than this.
+const LONGEST: Nanos = 3_000_000_000;
+/// Time kept free before the platform may kill, for answers to get out.
+const MARGIN: Nanos = 200_000_000;
+/// In a drain the front sends new connections for 0.2 s after it has seen health fail, which it asks every 0.1 s: only
+/// from here on are clients told to leave their connections with an answer.
+const SEEN: Nanos = 400_000_000;
+/// In a drain jobs are taken for this long. 4 s after the call no connection may hold a job of the last 2 s.
+const TAKES: Nanos = 1_700_000_000;
+
+/// What the scheduler is at.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It takes clients.
+    #[default]
+    In,
+    /// Staff took it out of service then.
+    Draining(Nanos),
+    /// Its process was told to end then; nothing leads back.
+    Ending(Nanos),
+}
+
+/// The machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Service {
+    state: State,
+    /// The longest time that a client waits.
+    longest: Nanos,
+}
+
+impl Service {
+    /// In service, for clients that wait no longer than `longest`.
+    pub fn new(longest: Nanos) -> Service {
+        Service { state: State::In, longest }
+    }
+
+    /// The state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Clients wait no longer than this from now on; an end already asked for stays timed as it was.
+    pub fn patience(&mut self, longest: Nanos) {
+        if !self.ending() {
+            self.longest = longest;
+        }
+    }
+
+    /// Staff take it out of service; true if that changes anything.
+    pub fn drain(&mut self, now: Nanos) -> bool {
+        self.turn(self.state == State::In, State::Draining(now))
+    }
+
+    /// Staff put it back; true if that changes anything. An end cannot be taken back.
+    pub fn resume(&mut self) -> bool {
+        self.turn(matches!(self.state, State::Draining(_)), State::In)
+    }
+
+    /// The process is told to end; true the first time.
+    pub fn end(&mut self, now: Nanos) -> bool {
+        self.turn(!self.ending(), State::Ending(now))
+    }
+
+    /// Takes over the state of a process that this one replaces. Its end is not ours.
+    pub fn adopt(&mut self, state: State) {
+        self.turn(!self.ending() && !matches!(state, State::Ending(_)), state);
+    }
+
+    fn turn(&mut self, may: bool, to: State) -> bool {
+        if may {
+            self.state = to;
+        }
+        may
+    }
+
+    /// The process was told to end.
+    pub fn ending(&self) -> bool {
+        matches!(self.state, State::Ending(_))
+    }
+
+    /// Whether new clients may come.
+    pub fn healthy(&self) -> bool {
+        self.state == State::In
+    }
+
+    /// When jobs cease to be taken and idle connections close. At an end clients keep to the connections that they
+    /// have, and while a peer restarts as well nobody else serves them: those stay in use for half of the wait, and the
+    /// other half is left to what was taken last.
+    pub fn closing(&self) -> Option<Nanos> {
+        match self.state {
+            State::In => None,
+            State::Draining(at) => Some(at + TAKES),
+            State::Ending(at) => Some(at + NOTICE + self.wait() / 2),
+        }
+    }
+
+    /// Nothing new is taken any more, and nothing idle stays.
+    pub fn refusing(&self, now: Nanos) -> bool {
+        self.closing().is_some_and(|at| now >= at)
+    }
+
+    /// Whether an answer given now says that its connection closes.
+    pub fn parting(&self, now: Nanos) -> bool {
+        self.refusing(now) || matches!(self.state, State::Draining(at) if now >= at + SEEN)
+    }
+
+    /// By when a flow that is taken now must have its answer: what is taken after the notice of an end is lost if the
+    /// platform's kill finds it open.
+    pub fn answer_by(&self) -> Option<Nanos> {
+        let wait = self.wait();
+        match self.state {
+            State::Ending(at) => Some(at + NOTICE + wait - MARGIN.min(wait / 4)),
+            _ => None,
+        }
+    }
+
+    fn wait(&self) -> Nanos {
+        self.longest.min(LONGEST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const MS: Nanos = 1_000_000;
+
+    #[test]
+    fn a_drain_takes_jobs_parts_with_its_clients_and_is_over_in_time() {
+        let mut service = Service::new(5_000 * MS);
+        assert!(service.drain(0) && !service.drain(1_000 * MS), "a second call does not begin it anew");
+        let at = |ms: Nanos| (service.healthy(), service.parting(ms * MS), service.refusing(ms * MS));
+        assert_eq!([at(0), at(399), at(400)], [(false, false, false), (false, false, false), (false, true, false)]);
+        assert_eq!([at(1_699), at(1_700)], [(false, true, false), (false, true, true)]);
+        assert_eq!(service.answer_by(), None, "a drain leaves jobs their time");
+        assert!(service.resume() && !service.resume());
+        assert!(service.healthy() && !service.parting(5_000 * MS));
+    }
+
+    #[test]
+    fn an_end_is_final_and_keeps_half_of_the_wait_for_what_was_taken_last() {
+        let mut service = Service::new(5_000 * MS);
+        service.drain(0);
+        assert!(service.end(100 * MS) && !service.end(200 * MS));
+        assert!(!service.resume() && !service.drain(300 * MS));
+        service.patience(1);
+        assert_eq!(service.closing(), Some(2_300 * MS));
+        assert_eq!(service.answer_by(), Some(3_600 * MS));
+    }
+
+    proptest! {
+        /// Whatever is said in whatever order: health is said exactly while in service, an end never ends, and what
+        /// refuses also parts.
+        #[test]
+        fn every_order_of_words_leaves_one_clear_state(words in prop::collection::vec(0u8..4, 0..30)) {
+            let mut service = Service::new(3_000 * MS);
+            let mut ended = false;
+            for (i, word) in words.into_iter().enumerate() {
+                let now = i as Nanos * 500 * MS;
+                match word {
+                    0 => _ = service.drain(now),
+                    1 => _ = service.resume(),
+                    2 => service.adopt(State::Ending(now)),
+                    _ => { ended = true; service.end(now); }
+                }
+                prop_assert_eq!(service.ending(), ended);
+                prop_assert_eq!(service.healthy(), service.closing().is_none());
+                prop_assert!(!service.refusing(now) || service.parting(now));
+                prop_assert_eq!(service.answer_by().is_some(), ended);
+            }
+        }
+    }
+}
