Second address: calls of staff, workers out by hand, and drains

Change: crates/scheduler/src/control.rs is a thin front over loomlb-control; discovery::effective joins the list's word with the orders in front of the module, which sees a plain drain, then a cold worker; shutdown.rs holds the one state that /healthz, admit, intake, SIGTERM and the drain ask. Nothing opens where neither the key nor the variable is set.

--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -78,7 +78,9 @@
         assert_eq!(read("PUT /control/workers/s-1/online"), Ok(Call::Online("s-1".into())));
         assert_eq!(read("POST /control/ready"), Err(Fault::Method("GET")));
         assert_eq!(read("GET /control/workers/s-1/online"), Err(Fault::Method("PUT")));
-        for path in ["/", "/control", "/control/", "/control/workers/s-1", "/control/workers/a/b/online", "/healthz"] {
+        for path in
+            ["/", "/control", "/control/", "/control/workers/s-1", "/control/workers/a/b/online", "/healthz"]
+        {
             assert_eq!(Call::read(b"PUT", path.as_bytes()), Err(Fault::Unknown), "{path}");
         }
         for id in ["%", "%2", "%zz", "%ff", "%+1"] {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -138,7 +138,10 @@
         let mut service = Service::new(5_000 * MS);
         assert!(service.drain(0) && !service.drain(1_000 * MS), "a second call does not begin it anew");
         let at = |ms: Nanos| (service.healthy(), service.parting(ms * MS), service.refusing(ms * MS));
-        assert_eq!([at(0), at(399), at(400)], [(false, false, false), (false, false, false), (false, true, false)]);
+        assert_eq!(
+            [at(0), at(399), at(400)],
+            [(false, false, false), (false, false, false), (false, true, false)]
+        );
         assert_eq!([at(1_699), at(1_700)], [(false, true, false), (false, true, true)]);
         assert_eq!(service.answer_by(), None, "a drain leaves jobs their time");
         assert!(service.resume() && !service.resume());
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -78,7 +78,7 @@
     }
     let full = book.len() >= s.config.terms.max_open
         || book.body_bytes() + offer.work.body.len() > s.config.body_bytes;
-    if full || s.shutdown.refusing(now) {
+    if full || s.shutdown.service().refusing(now) {
         book.counters.turned_back += 1;
         return Err(Rejection::NoRoom(NO_ROOM_WAIT.min(s.config.settings.limits.max_retry_after)));
     }
@@ -95,7 +95,8 @@
         }
     };
     let patience = offer.patience.unwrap_or(settings.deadline);
-    let remaining = s.shutdown.answer_by().map_or(patience, |by| patience.min(by.saturating_sub(now)));
+    let remaining =
+        s.shutdown.service().answer_by().map_or(patience, |by| patience.min(by.saturating_sub(now)));
     let deadline = now.saturating_add(remaining);
     let (reply, answer) = oneshot::channel();
     let correlation = offer.work.correlation.clone();
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -127,6 +127,12 @@
     pub lists: u64,
     /// Calls of discovery that failed.
     pub list_faults: u64,
+    /// Calls of staff that were answered with yes.
+    pub calls: u64,
+    /// Calls of staff that were answered with no, by status; 503 comes last.
+    pub calls_no: [u64; CALLS_NO.len()],
+    /// Callers cut off without a whole call, for time or for room.
+    pub calls_cut: u64,
     /// Configurations read again.
     pub reloads: u64,
     /// Configurations read again and found faulty.
@@ -145,6 +151,8 @@
 
 /// Statuses of plain answers to bad input.
 const BAD: [u16; 6] = [400, 404, 405, 408, 413, 431];
+/// Statuses of the noes at the second address.
+const CALLS_NO: [u16; 7] = [400, 404, 405, 408, 413, 431, 503];
 const OUTCOMES: [Outcome; 9] = [
     Outcome::Served,
     Outcome::Error,
@@ -163,6 +171,12 @@
         BAD.iter().zip(&mut self.bad).filter(|b| *b.0 == status).for_each(|b| *b.1 += 1);
     }
 
+    /// Counts the answer to a call of staff.
+    pub fn called(&mut self, status: u16) {
+        self.calls += u64::from(status == 200);
+        CALLS_NO.iter().zip(&mut self.calls_no).filter(|c| *c.0 == status).for_each(|c| *c.1 += 1);
+    }
+
     /// Counts the end of a forward.
     pub fn outcome(&mut self, outcome: Outcome) {
         OUTCOMES.iter().zip(&mut self.outcomes).filter(|o| *o.0 == outcome).for_each(|o| *o.1 += 1);
@@ -185,7 +199,11 @@
         write!(f, " undone={} dials={} reused={} probes={}", c.undone, c.dials, c.reused, c.probes)?;
         write!(f, "; call_backs={} call_backs_unknown={}", c.call_backs, c.call_backs_unknown)?;
         write!(f, "; lists={} list_faults={}", c.lists, c.list_faults)?;
-        write!(f, " reloads={} reload_faults={}", c.reloads, c.reload_faults)?;
+        write!(f, "; calls={} calls_cut={}", c.calls, c.calls_cut)?;
+        for (status, count) in CALLS_NO.iter().zip(c.calls_no).filter(|n| n.1 > 0) {
+            write!(f, " calls_{status}={count}")?;
+        }
+        write!(f, "; reloads={} reload_faults={}", c.reloads, c.reload_faults)?;
         write!(f, "; peers: in={} out={}; panics={}", c.peers_in, c.peers_out, c.panics)
     }
 }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -9,6 +9,8 @@
 
 /// Descriptors kept aside for the runtime, the log, discovery, peers and the listener itself.
 const RESERVED: usize = 32;
+/// Descriptors kept aside for the callers of the second address, its listener included.
+const CALLERS: usize = 20;
 /// Fewer descriptors than this serve nobody.
 const FEWEST: usize = 64;
 
@@ -21,6 +23,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub control: Option<SocketAddr>,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// Connections that may be open to the listener.
@@ -66,6 +70,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    control: Option<String>,
     seed: Option<serde_json::Value>,
     limits: Limits,
     peer_listen: Option<String>,
@@ -100,6 +105,7 @@
         raw.name = env("LB_NAME").or(raw.name);
         raw.listen = env("LB_LISTEN").or(raw.listen);
         raw.discovery = env("LB_DISCOVERY").or(raw.discovery);
+        raw.control = raw.control.or(env("LB_CONTROL"));
         raw.check(path, keys)
     }
 
@@ -158,12 +164,14 @@
             Some(other) => return Err(format!("seed: {other} is no number")),
         };
         // Clients are the many; a target's connections are reused, so a third is ample for them.
-        let usable = self.limits.sockets - RESERVED;
+        let control = optional("control", self.control)?;
+        let usable = self.limits.sockets - RESERVED - if control.is_some() { CALLERS } else { 0 };
         let outbound = usable / 3;
         Ok(Config {
             name: self.name.unwrap_or_else(|| "loomlb".into()),
             listen: address("listen", &needed("listen", self.listen)?)?,
             discovery: address("discovery", &needed("discovery", self.discovery)?)?,
+            control,
             seed,
             inbound: usable - outbound,
             outbound,
@@ -190,6 +198,9 @@
         writeln!(f, "scheduler {me} of {}, {} peers", self.settings.dispatchers, self.peers.len())?;
         writeln!(f, "classes: {}", self.names.classes.join(", "))?;
         writeln!(f, "tenants: {}", self.names.tenants.join(", "))?;
+        if let Some(control) = self.control {
+            writeln!(f, "control: {control}")?;
+        }
         write!(f, "connections: {} in, {} out", self.inbound, self.outbound)
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/control.rs
@@ -0,0 +1,194 @@
+//! Control: the second address, where staff call. One call a connection; a front of its own, so that it answers whatever
+//! the clients' listener is at. What a call means is decided in `loomlb-control`.
+
+use super::http::{Fault, Kind, Message, Wire, response};
+use super::{Scheduler, discovery};
+use loomlb_control::call::{self, Call};
+use loomlb_control::service::State;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Callers at once. `config` sets their descriptors aside.
+const SEATS: usize = 16;
+/// A call is whole within this time from the start of its connection.
+const WHOLE: Duration = Duration::from_secs(4);
+/// An answer is read by its caller within this time.
+const TAKEN: Duration = Duration::from_secs(2);
+/// Pause after a failed accept.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// The callers that can be asked to leave, by their order of arrival: those that owe their call, or have their answer.
+#[derive(Debug, Default)]
+struct Seats {
+    callers: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    next: Cell<u64>,
+    taken: Cell<usize>,
+    left: Notify,
+}
+
+/// A caller's place.
+struct Seat {
+    seats: Rc<Seats>,
+    number: u64,
+    leave: Rc<Notify>,
+}
+
+impl Seat {
+    fn new(seats: &Rc<Seats>) -> Seat {
+        let number = seats.next.replace(seats.next.get() + 1);
+        let leave = Rc::new(Notify::new());
+        seats.callers.borrow_mut().insert(number, Rc::clone(&leave));
+        seats.taken.set(seats.taken.get() + 1);
+        Seat { seats: Rc::clone(seats), number, leave }
+    }
+
+    /// Its call is whole: it stays until it is answered.
+    fn hold(&self) {
+        self.seats.callers.borrow_mut().remove(&self.number);
+    }
+
+    fn release(&self) {
+        self.seats.callers.borrow_mut().insert(self.number, Rc::clone(&self.leave));
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.hold();
+        self.seats.taken.set(self.seats.taken.get() - 1);
+        self.seats.left.notify_one();
+    }
+}
+
+/// Accepts callers for as long as the program runs. When all seats are taken the one that came first of those without
+/// a whole call makes room: whoever says nothing never keeps a new caller out.
+pub async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
+    let seats = Rc::new(Seats::default());
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        while seats.taken.get() >= SEATS {
+            let first = seats.callers.borrow_mut().pop_first();
+            if let Some((_, leave)) = first {
+                leave.notify_one();
+            }
+            let _ = tokio::time::timeout(PAUSE, seats.left.notified()).await;
+        }
+        tokio::task::spawn_local(serve(Rc::clone(&s), Seat::new(&seats), stream));
+    }
+}
+
+/// What a caller hears.
+struct Reply {
+    status: u16,
+    body: String,
+    allow: Option<&'static str>,
+}
+
+async fn serve(s: Rc<Scheduler>, seat: Seat, stream: TcpStream) {
+    let mut wire = Wire::new(stream);
+    let read = tokio::select! {
+        biased;
+        read = tokio::time::timeout(WHOLE, wire.read(Kind::Request)) => read.ok(),
+        () = seat.leave.notified() => {
+            s.book.borrow_mut().counters.calls_cut += 1;
+            return;
+        }
+    };
+    seat.hold();
+    let reply = match read {
+        Some(Ok(message)) => answer(&s, &message),
+        Some(Err(Fault::Closed | Fault::Broken)) => {
+            s.book.borrow_mut().counters.calls_cut += 1;
+            return;
+        }
+        Some(Err(Fault::Malformed)) => no(400, "malformed request"),
+        Some(Err(Fault::HeadTooLarge)) => no(431, "head too large"),
+        Some(Err(Fault::BodyTooLarge)) => no(413, "body too large"),
+        None => no(408, "call not whole in time"),
+    };
+    s.book.borrow_mut().counters.called(reply.status);
+    let allow = reply.allow.map(|method| ("Allow", method));
+    let mut headers = vec![("Content-Type", "application/json")];
+    headers.extend(allow);
+    let text = response(reply.status, &headers, reply.body.as_bytes(), false);
+    if let Ok(Ok(())) = tokio::time::timeout(TAKEN, wire.write(&text)).await {
+        seat.release();
+        tokio::select! {
+            () = wire.linger() => {}
+            () = seat.leave.notified() => {}
+        }
+    }
+}
+
+fn no(status: u16, why: &str) -> Reply {
+    Reply { status, body: format!("{}\n", serde_json::json!({ "yes": false, "why": why })), allow: None }
+}
+
+/// Carries a call out and says what has come of it.
+fn answer(s: &Rc<Scheduler>, message: &Message) -> Reply {
+    let call = match Call::read(&message.method, &message.path) {
+        Ok(call) => call,
+        Err(call::Fault::Malformed) => return no(400, "malformed path"),
+        Err(call::Fault::Unknown) => return no(404, "unknown path"),
+        Err(call::Fault::Method(takes)) => {
+            return Reply { allow: Some(takes), ..no(405, "wrong method") };
+        }
+    };
+    if let Call::Offline(host) | Call::Online(host) = &call
+        && !s.group.names(host)
+        && !s.orders.borrow().is_out(host)
+    {
+        return no(404, "unknown worker");
+    }
+    if call != Call::Ready {
+        let changed = carry_out(s, &call);
+        tracing::info!("control: {call:?}{}", if changed { "" } else { ": so already" });
+    }
+    let service = s.shutdown.service();
+    match &call {
+        Call::Ready if service.ending() => no(503, "ending"),
+        Call::OutOfService | Call::InService if service.ending() => no(503, "ending"),
+        _ => Reply { status: 200, body: state(s), allow: None },
+    }
+}
+
+/// Does what a call orders; whether that changed anything.
+fn carry_out(s: &Rc<Scheduler>, call: &Call) -> bool {
+    let now = s.clock.now();
+    let changed = match call {
+        Call::Ready => false,
+        Call::OutOfService => s.shutdown.turn(|service| service.drain(now)),
+        Call::InService => s.shutdown.turn(|service| service.resume()),
+        Call::Offline(host) => s.orders.borrow_mut().offline(host, now),
+        Call::Online(host) => s.orders.borrow_mut().online(host, now),
+    };
+    if let Call::Offline(host) | Call::Online(host) = call
+        && changed
+    {
+        discovery::ordered(s, host);
+    }
+    changed
+}
+
+/// What staff see with every yes.
+fn state(s: &Scheduler) -> String {
+    let service = match s.shutdown.service().state() {
+        State::In => "in",
+        State::Draining(_) => "draining",
+        State::Ending(_) => "ending",
+    };
+    let orders = s.orders.borrow();
+    let out: Vec<&str> = orders.out().collect();
+    let flows = s.book.borrow().owed();
+    format!(
+        "{}\n",
+        serde_json::json!({ "yes": true, "service": service, "workers_out": out, "flows": flows })
+    )
+}
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -3,6 +3,7 @@
 use super::clock::from_unix_ms;
 use super::http::{Kind, Wire};
 use super::{Scheduler, route};
+use loomlb_control::orders::{Effect, Orders};
 use loomlb_decide::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -31,7 +32,8 @@
     pub dial: SocketAddr,
     /// When it was told to be draining or gone, if it is.
     pub leaving: Option<Nanos>,
-    started: Nanos,
+    /// Discovery's own word on it.
+    word: Worker,
 }
 
 /// The targets that discovery has named.
@@ -90,6 +92,11 @@
         self.targets.borrow().get(&id).cloned()
     }
 
+    /// Whether discovery has named this target, and if it has left since, not long ago.
+    pub fn names(&self, host: &str) -> bool {
+        self.targets.borrow().get(&number(host)).is_some_and(|t| &*t.host == host)
+    }
+
     /// The module wants the list, at sites where it must be asked for.
     pub fn ask(&self) {
         self.asked.notify_one();
@@ -102,6 +109,27 @@
     }
 }
 
+/// What the module is told of a target: discovery's word joined with what staff ordered.
+fn effective(orders: &Orders, target: &Target) -> Worker {
+    let word = target.word.clone();
+    match orders.effect(&target.host, word.started) {
+        Effect::AsListed => word,
+        Effect::Out if word.state == WorkerState::Gone => word,
+        Effect::Out => Worker { state: WorkerState::Draining, ..word },
+        Effect::Started(started) => Worker { started, ..word },
+    }
+}
+
+/// Staff have ordered something of a target: the module is told what it is now. Connections to a process that is about
+/// to be restarted, or has been, are of no use.
+pub fn ordered(s: &Rc<Scheduler>, host: &str) {
+    let id = number(host);
+    let Some(target) = s.group.target(id).filter(|t| &*t.host == host) else { return };
+    s.pool.release(id);
+    let entry = effective(&s.orders.borrow(), &target);
+    route::feed(s, Event::Workers { kind: ListKind::Partial, entries: vec![entry] });
+}
+
 /// Takes in a list and tells the module of it.
 fn take(s: &Rc<Scheduler>, list: List, kind: ListKind) {
     let now = s.clock.now();
@@ -110,6 +138,7 @@
         let named: HashSet<WorkerId> = list.hosts.iter().map(|h| number(&h.host)).collect();
         for (id, target) in targets.iter_mut().filter(|t| !named.contains(t.0)) {
             target.leaving.get_or_insert(now);
+            target.word.state = WorkerState::Gone;
             s.pool.release(*id);
         }
     }
@@ -139,15 +168,18 @@
             WorkerState::Ready => None,
             _ => Some(known.and_then(|t| t.leaving).unwrap_or(now)),
         };
-        if leaving.is_some() || known.is_some_and(|t| t.started != started || t.dial != dial) {
+        if leaving.is_some() || known.is_some_and(|t| t.word.started != started || t.dial != dial) {
             // Connections to a process that has ended or is about to: the next use would only find that out.
             s.pool.release(id);
         }
         let worker =
             Worker { cell: CellId(host.block), state, weight: host.share, started, ..Worker::new(id) };
-        entries.push(s.config.names.worker(&host.site, &host.class, worker));
-        targets.insert(id, Target { host: host.host.into(), dial, leaving, started });
+        let word = s.config.names.worker(&host.site, &host.class, worker);
+        let target = Target { host: host.host.into(), dial, leaving, word };
+        entries.push(effective(&s.orders.borrow(), &target));
+        targets.insert(id, target);
     }
+    s.orders.borrow_mut().age(now, s.config.settings.rules.cold.saturating_add(REMEMBER));
     targets.retain(|_, t| t.leaving.is_none_or(|at| now < at + REMEMBER));
     drop(targets);
     route::feed(s, Event::Workers { kind, entries });
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// It has come just now, and has said nothing yet.
+    fn on_probation(&self) -> bool {
+        let now = self.s.clock.now();
+        let seats = self.s.listener.seats.borrow();
+        let state = seats.get(&self.number).map(|seat| seat.state);
+        matches!(state, Some(State::Silent(since)) if now < since + PROBATION)
+    }
+
     fn is(&self, state: State) {
         if let Some(seat) = self.s.listener.seats.borrow_mut().get_mut(&self.number) {
             seat.state = state;
@@ -209,7 +217,7 @@
         };
         s.book.borrow_mut().counters.bad(reply.status);
         // Call-backs go on: what was taken cannot finish without them.
-        let keep_alive = keep_alive && (calls_back || !s.shutdown.refusing(s.clock.now()));
+        let keep_alive = keep_alive && (calls_back || !s.shutdown.service().parting(s.clock.now()));
         let wait = format!("{:.3}", reply.retry_after as f64 / 1e9);
         let headers: &[(&str, &str)] = if reply.retry_after > 0 { &[("Retry-After", &wait)] } else { &[] };
         let text = response(reply.status, headers, &reply.body, keep_alive);
@@ -233,6 +241,15 @@
 /// once more: what has arrived by then is a request like any other.
 async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool, until: Instant) -> bool {
     let s = &seat.s;
+    // A connection that has just come has its request on the way, or asks for health.
+    let parted = async {
+        loop {
+            s.shutdown.close_idle.notified().await;
+            if !seat.on_probation() {
+                return;
+            }
+        }
+    };
     let ours = tokio::select! {
         filled = wire.fill() => {
             if !matches!(filled, Ok(n) if n > 0) {
@@ -241,7 +258,7 @@
             false
         }
         () = seat.close.notified() => true,
-        () = s.shutdown.close_idle.notified(), if !calls_back => true,
+        () = parted, if !calls_back => true,
         () = tokio::time::sleep_until(until) => true,
     };
     !ours || wire.poll_input() && wire.has_input()
@@ -258,7 +275,7 @@
     tracing::trace!("{} {path}", String::from_utf8_lossy(method));
     match path {
         HEALTH if method != b"GET" => return Some(Reply::plain(405, "only GET is served here")),
-        HEALTH if s.shutdown.begun() => return Some(Reply::plain(503, "ending")),
+        HEALTH if !s.shutdown.service().healthy() => return Some(Reply::plain(503, "out of service")),
         HEALTH => return Some(Reply::plain(200, "ready")),
         CALL_BACKS if method != b"POST" => return Some(Reply::plain(405, "only POST is served here")),
         CALL_BACKS if relay::call_back(s, &message.body) => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod book;
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod discovery;
 pub mod http;
 pub mod intake;
@@ -25,6 +26,7 @@
 pub mod wheel;
 
 use config::Config;
+use loomlb_control::orders::Orders;
 use loomlb_decide::{Dispatcher, Event};
 use std::cell::RefCell;
 use std::io;
@@ -52,6 +54,8 @@
     pub group: discovery::Group,
     /// The other schedulers.
     pub peers: peers::Peers,
+    /// What staff ordered of workers.
+    pub orders: RefCell<Orders>,
     /// Connections of clients.
     pub listener: intake::Listener,
     /// Whether the end has come.
@@ -69,6 +73,10 @@
 async fn run(config: Config, quotas: shares::Quotas) -> io::Result<()> {
     let named = |what: &str, e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
     let listener = TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?;
+    let calls = match config.control {
+        Some(at) => Some(TcpListener::bind(at).await.map_err(|e| named("control", e))?),
+        None => None,
+    };
     let peers = peers::Peers::open(&config).await.map_err(|e| named("peer_listen", e))?;
     let clock = clock::Clock::default();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
@@ -84,6 +92,7 @@
         listener: intake::Listener::new(config.inbound),
         book: RefCell::default(),
         group: discovery::Group::default(),
+        orders: RefCell::default(),
         shutdown: shutdown::Shutdown::new(longest),
         clock,
         peers,
@@ -102,6 +111,11 @@
         spawn_local(peers::share(Rc::clone(&s)));
     }
     spawn_local(intake::accept(Rc::clone(&s), listener));
+    spawn_local(shutdown::close_idle(Rc::clone(&s)));
+    if let Some(calls) = calls {
+        tracing::info!("control at {}", calls.local_addr()?);
+        spawn_local(control::accept(Rc::clone(&s), calls));
+    }
     shutdown::wait(&s, signals).await;
     shutdown::report(&s);
     Ok(())
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -241,8 +241,8 @@
         let s = &self.s;
         let open = s.book.borrow_mut().flow(self.id).is_some_and(|f| f.reply.is_some());
         let grace = s.config.terms.drain_grace / 2;
-        let target = s.group.target(self.to);
-        open && target.is_some_and(|t| t.leaving.is_none_or(|at| s.clock.now() < at + grace))
+        let in_time = |t: &Target| t.leaving.is_none_or(|at| s.clock.now() < at + grace);
+        open && s.group.target(self.to).is_some_and(|t| in_time(&t) && !s.orders.borrow().is_out(&t.host))
     }
 
     fn reached(&self, stage: Stage) {
@@ -259,7 +259,8 @@
 }
 
 fn put_back(s: &Scheduler, to: WorkerId, link: Link, answer: &Message) {
-    let staying = s.group.target(to).is_some_and(|t| t.leaving.is_none());
+    let staying = |t: Target| t.leaving.is_none() && !s.orders.borrow().is_out(&t.host);
+    let staying = s.group.target(to).is_some_and(staying);
     if answer.keep_alive && !link.wire.has_input() && staying {
         s.pool.put(to, link, s.clock.now());
     }
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! Shutdown: from SIGTERM to the end, without losing what was taken.
 
 use super::Scheduler;
+use loomlb_control::service::Service;
 use loomlb_decide::Nanos;
 use std::cell::Cell;
 use std::io;
@@ -9,19 +10,14 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 
-/// The platform waits this long for what is under way when it asks for the end, and for the longest deadline,
-const NOTICE: Nanos = 700_000_000;
-/// of which it counts no more than this.
-const LONGEST: Nanos = 3_000_000_000;
-/// Time kept free before the platform may kill, for answers to get out.
-const MARGIN: Nanos = 200_000_000;
+/// Time between two words to idle connections while they are to close.
+const CLOSE_EVERY: Duration = Duration::from_millis(5);
 
-/// Whether the end has been asked for.
+/// The state of the service, and who is told when it turns.
 #[derive(Debug)]
 pub struct Shutdown {
-    since: Cell<Option<Nanos>>,
-    /// What the platform waits for beyond its notice.
-    wait: Nanos,
+    service: Cell<Service>,
+    turned: Notify,
     /// Told to idle connections when they are to close.
     pub close_idle: Notify,
 }
@@ -29,30 +25,39 @@
 impl Shutdown {
     /// For a scheduler whose clients wait no longer than `longest`.
     pub fn new(longest: Nanos) -> Self {
-        Shutdown { since: Cell::new(None), wait: longest.min(LONGEST), close_idle: Notify::new() }
+        let service = Cell::new(Service::new(longest));
+        Shutdown { service, turned: Notify::new(), close_idle: Notify::new() }
     }
 
-    /// The end has been asked for.
-    pub fn begun(&self) -> bool {
-        self.since.get().is_some()
+    /// The state as it stands.
+    pub fn service(&self) -> Service {
+        self.service.get()
     }
 
-    /// When flows cease to be taken and connections close. Clients keep to the connections that they have,
-    /// and while a peer restarts as well nobody else serves them: so those stay in use for half of the wait,
-    /// and the other half is left to what was taken last.
-    fn closing(&self) -> Option<Nanos> {
-        self.since.get().map(|at| at + NOTICE + self.wait / 2)
-    }
-
-    /// Nothing new is taken any more: answers say that the connection closes.
-    pub fn refusing(&self, now: Nanos) -> bool {
-        self.closing().is_some_and(|at| now >= at)
+    /// Changes the state, and wakes whoever acts on it.
+    pub fn turn<T>(&self, word: impl FnOnce(&mut Service) -> T) -> T {
+        let mut service = self.service.get();
+        let said = word(&mut service);
+        self.service.set(service);
+        self.turned.notify_one();
+        said
     }
+}
 
-    /// By when a flow that is taken now must have its answer, if the end has been asked for: what is taken
-    /// after the notice is lost if the platform's kill finds it open.
-    pub fn answer_by(&self) -> Option<Nanos> {
-        self.since.get().map(|at| at + NOTICE + self.wait - MARGIN.min(self.wait / 4))
+/// Has idle connections close for as long as nothing is taken: at the end of the program, or of a drain's time.
+pub async fn close_idle(s: Rc<Scheduler>) {
+    loop {
+        match s.shutdown.service().closing() {
+            None => s.shutdown.turned.notified().await,
+            Some(at) if s.clock.now() < at => tokio::select! {
+                () = s.shutdown.turned.notified() => {}
+                () = tokio::time::sleep_until(s.clock.instant(at)) => {}
+            },
+            Some(_) => {
+                s.shutdown.close_idle.notify_waiters();
+                tokio::time::sleep(CLOSE_EVERY).await;
+            }
+        }
     }
 }
 
@@ -94,11 +99,11 @@
         }
     }
     let now = s.clock.now();
-    s.shutdown.since.set(Some(now));
+    s.shutdown.turn(|service| service.end(now));
     tracing::info!("asked to end, {} flows to finish", s.book.borrow().owed());
-    tokio::time::sleep_until(s.clock.instant(s.shutdown.closing().unwrap_or(now))).await;
+    let closing = s.shutdown.service().closing().unwrap_or(now);
+    tokio::time::sleep_until(s.clock.instant(closing)).await;
     loop {
-        s.shutdown.close_idle.notify_waiters();
         if s.book.borrow().owed() == 0 && s.listener.engaged() == 0 {
             // One more turn: whatever the kernel holds for us by now gets read and answered.
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -106,6 +111,6 @@
                 return;
             }
         }
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        tokio::time::sleep(CLOSE_EVERY).await;
     }
 }
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,174 @@
+//! Stories of staff who run the program day by day: its second address, workers out by hand, drains.
+
+mod stage;
+
+use insta::assert_snapshot;
+use stage::{Line, Server, Stage, job, list, response};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Serves a target's next job to its end.
+fn serve(stage: &Stage, target: &Server, id: &str) -> Line {
+    let mut line = target.accept();
+    finish(stage, target, &mut line, id);
+    line
+}
+
+/// The same on a connection that is there.
+fn finish(stage: &Stage, target: &Server, line: &mut Line, id: &str) {
+    assert!(line.hear().contains(id), "{id} does not come to {}", target.name);
+    line.say(&response("202 Accepted", ""));
+    done(stage, target, id);
+}
+
+fn done(stage: &Stage, target: &Server, id: &str) {
+    let name = &target.name;
+    stage.call_back(&format!(r#"{{"id":"{id}","from":"{name}","state":"done","result":"{id}"}}"#));
+}
+
+#[test]
+fn calls_are_answered_beside_callers_that_say_nothing_and_bad_ones_get_a_plain_no() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::operated(&[&target], &discovery);
+    // Far more than there are seats: silent, half-said, and a byte at a time.
+    let mut holders: Vec<Line> = Vec::new();
+    for i in 0..60 {
+        let mut line = Line::new(TcpStream::connect(stage.control).unwrap());
+        line.say(["", "GET /control/rea", "P"][i % 3]);
+        holders.push(line);
+    }
+    let begun = Instant::now();
+    let mut said = vec![stage.order("GET /control/ready")];
+    // The answer comes at once, not when a holder's time is over.
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+    for call in [
+        "PUT /control/ready",
+        "GET /control/workers/s-00000001/offline",
+        "PUT /control/workers/nobody/offline",
+        "PUT /control/workers/nobody/online",
+        "PUT /control/workers/%zz/online",
+        "PUT /control/workers/s%2D00000001/online",
+        "GET /healthz",
+        "no http at all",
+    ] {
+        said.push(stage.order(call));
+    }
+    let mut pieces = Line::new(TcpStream::connect(stage.control).unwrap());
+    for byte in "GET /control/ready HTTP/1.1\r\nHost: h\r\n\r\n".chars() {
+        pieces.say(&byte.to_string());
+    }
+    said.push(pieces.answer());
+    assert!(pieces.closed(), "one call a connection");
+    let mut long = Line::new(TcpStream::connect(stage.control).unwrap());
+    long.say(&format!("GET /control/ready HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(17_000)));
+    said.push(long.answer());
+    assert_snapshot!(said.join("\n"), @r#"
+    HTTP/1.1 200 OK | {"flows":0,"service":"in","workers_out":[],"yes":true}
+    HTTP/1.1 405 Method Not Allowed | {"why":"wrong method","yes":false}
+    HTTP/1.1 405 Method Not Allowed | {"why":"wrong method","yes":false}
+    HTTP/1.1 404 Not Found | {"why":"unknown worker","yes":false}
+    HTTP/1.1 404 Not Found | {"why":"unknown worker","yes":false}
+    HTTP/1.1 400 Bad Request | {"why":"malformed path","yes":false}
+    HTTP/1.1 200 OK | {"flows":0,"service":"in","workers_out":[],"yes":true}
+    HTTP/1.1 404 Not Found | {"why":"unknown path","yes":false}
+    HTTP/1.1 400 Bad Request | {"why":"malformed request","yes":false}
+    HTTP/1.1 200 OK | {"flows":0,"service":"in","workers_out":[],"yes":true}
+    HTTP/1.1 431 Request Header Fields Too Large | {"why":"head too large","yes":false}
+    "#);
+    assert_snapshot!(stage.counters(&["calls", "calls_400", "calls_404", "calls_405", "calls_431"]), @"calls=3 calls_400=2 calls_404=3 calls_405=2 calls_431=1");
+    // Clients' places are untouched.
+    assert!(stage.ask("GET /healthz HTTP/1.1\r\n\r\n").ends_with("ready"));
+}
+
+#[test]
+fn a_worker_out_by_hand_gets_nothing_whatever_the_list_says_until_it_is_called_back() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let stage = Stage::operated(&[&one, &two], &discovery);
+    let mut watch = discovery.accept();
+    watch.hear();
+    assert!(stage.order("PUT /control/workers/s-00000001/offline").starts_with("HTTP/1.1 200"));
+    assert!(stage.order("PUT /control/workers/s-00000001/offline").starts_with("HTTP/1.1 200"));
+    let mut at_two = None;
+    let mut next = |id: &str| {
+        let mut client = stage.connect();
+        client.say(&job("view", id, "3.000"));
+        match &mut at_two {
+            None => at_two = Some(serve(&stage, &two, id)),
+            Some(line) => finish(&stage, &two, line, id),
+        }
+        assert!(client.answer().ends_with(id));
+    };
+    for id in ["a1", "a2", "a3", "a4"] {
+        next(id);
+    }
+    // Left, back with a later start, and a whole list that names it: the order holds.
+    let back = one.entry("active").replace(r#""born_ms":0"#, r#""born_ms":5000"#);
+    for (seq, (whole, entries)) in [
+        (false, vec![one.entry("left")]),
+        (false, vec![back.clone()]),
+        (true, vec![back, two.entry("active")]),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        watch.say(&response("200 OK", &list(seq as u32 + 2, whole, &entries)));
+        watch.hear();
+        next(&format!("b{seq}"));
+        next(&format!("c{seq}"));
+    }
+    // All out: refused at once.
+    assert!(
+        stage.order("PUT /control/workers/s-00000002/offline").contains(r#"["s-00000001","s-00000002"]"#)
+    );
+    let begun = Instant::now();
+    assert!(stage.ask(&job("lodge", "d1", "0.700")).starts_with("HTTP/1.1 503"));
+    assert!(begun.elapsed() < Duration::from_secs(2));
+    // One call back is enough, though two took it out.
+    assert!(stage.order("PUT /control/workers/s-00000001/online").contains(r#"["s-00000002"]"#));
+    let mut client = stage.connect();
+    client.say(&job("lodge", "e1", "3.000"));
+    serve(&stage, &one, "e1");
+    assert!(client.answer().ends_with("e1"));
+}
+
+#[test]
+fn a_drain_answers_what_is_open_closes_what_is_idle_and_is_over_at_a_word() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::operated(&[&target], &discovery);
+    let health = || stage.ask("GET /healthz HTTP/1.1\r\n\r\n");
+    let (mut idle, mut silent, mut open) = (stage.connect(), stage.connect(), stage.connect());
+    idle.say("GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(idle.answer().ends_with("ready"));
+    open.say(&job("lodge", "a1", "4.500"));
+    let mut held = target.accept();
+    held.hear();
+    held.say(&response("202 Accepted", ""));
+    let begun = Instant::now();
+    assert!(stage.order("PUT /control/out-of-service").contains(r#""service":"draining""#));
+    assert!(health().starts_with("HTTP/1.1 503"));
+    // A client whose connection was on its way is served, and told to leave.
+    let mut late = stage.connect();
+    late.say(&job("view", "a2", "3.000"));
+    finish(&stage, &target, &mut held, "a2");
+    assert!(late.hear().starts_with("HTTP/1.1 200"));
+    assert!(idle.closed() && silent.closed());
+    assert!(begun.elapsed() < Duration::from_millis(3500), "{:?}", begun.elapsed());
+    // What comes all the same hears a refusal, and what is open its answer.
+    assert!(stage.ask(&job("view", "a3", "3.000")).starts_with("HTTP/1.1 503"));
+    done(&stage, &target, "a1");
+    let text = open.hear();
+    assert!(text.starts_with("HTTP/1.1 200") && text.contains("Connection: close"), "{text}");
+    assert!(stage.order("PUT /control/in-service").contains(r#""service":"in""#));
+    assert!(health().ends_with("ready"));
+    let mut again = stage.connect();
+    again.say(&job("view", "a4", "3.000"));
+    // The module had the idle connections closed once two jobs were over.
+    let mut held = serve(&stage, &target, "a4");
+    assert!(again.answer().ends_with("a4"));
+    // Put back in the midst of a drain, it serves on.
+    stage.order("PUT /control/out-of-service");
+    stage.order("PUT /control/in-service");
+    again.say(&job("view", "a5", "3.000"));
+    finish(&stage, &target, &mut held, "a5");
+    assert!(again.answer().ends_with("a5"));
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -1,4 +1,5 @@
 //! A stage for stories: the built program between scripted clients, targets and discovery on loopback.
+#![allow(dead_code, reason = "each file of stories uses a part of it")]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -115,6 +116,8 @@
 pub struct Stage {
     child: Child,
     pub at: SocketAddr,
+    /// The second address, where it was asked for.
+    pub control: SocketAddr,
     log: Receiver<String>,
     config: String,
     files: tempfile::TempDir,
@@ -147,10 +150,18 @@
         let (tell, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
-        let mut stage = Stage { child, at: ([127, 0, 0, 1], 0).into(), log, config, files };
+        let nowhere = ([127, 0, 0, 1], 0).into();
+        let mut stage = Stage { child, at: nowhere, control: nowhere, log, config, files };
         stage.at = stage.logged("serves at ").parse().unwrap();
+        if stage.config.contains("\"control\"") {
+            stage.control = stage.logged("control at ").parse().unwrap();
+        }
         stage
     }
+    /// The same with a second address.
+    pub fn operated(known: &[&Server], discovery: &Server) -> Stage {
+        Stage::with(known, discovery, r#""control":"127.0.0.1:0","#)
+    }
     /// Changes words of its configuration and has it read again.
     pub fn reload(&mut self, old: &str, new: &str) {
         self.config = self.config.replacen(old, new, 1);
@@ -175,6 +186,12 @@
         line.say(text);
         line.answer()
     }
+    /// The answer to a call at the second address.
+    pub fn order(&self, call: &str) -> String {
+        let mut line = Line::new(TcpStream::connect(self.control).unwrap());
+        line.say(&format!("{call} HTTP/1.1\r\nHost: h\r\n\r\n"));
+        line.answer()
+    }
     pub fn call_back(&self, body: &str) -> String {
         let length = body.len();
         self.ask(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"))
