--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -369,6 +369,17 @@
     All,
 }
 
+/// Where a class of new settings stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// It is the class that had this place before, unchanged, or kept for its open requests alone.
+    Kept,
+    /// It takes the place of a class that is no longer used, or a new one, and starts from what was learned of this class.
+    From(ClassId),
+    /// The same, from nothing.
+    Afresh,
+}
+
 /// What happens to a dispatcher.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -379,6 +390,8 @@
         /// The entries.
         entries: Vec<Worker>,
     },
+    /// The settings have changed. For each class, where it stands; requests keep the class that they came with.
+    Settings(Box<Settings>, Vec<Start>),
     /// A call for the list failed, or the subscription broke.
     ListFailed,
     /// A request is here.
--- a/crates/decide/src/boot.rs
+++ b/crates/decide/src/boot.rs
@@ -12,8 +12,10 @@
     pub classes: Vec<String>,
     /// The tenants.
     pub tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// The kinds of machine.
+    pub kinds: Vec<String>,
 }
 
 fn place(names: &[String], name: &str) -> usize {
--- a/crates/decide/src/fading.rs
+++ b/crates/decide/src/fading.rs
@@ -1,9 +1,10 @@
 //! Arithmetic of values that fade with time.
 
 use crate::api::Nanos;
+use serde::{Deserialize, Serialize};
 
 /// A value that fades towards 0.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Fading {
     value: f64,
     at: Nanos,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,4 +29,4 @@
 
 pub use api::*;
 pub use message::{Holds, Message};
-pub use rules::Dispatcher;
+pub use rules::{Carried, Dispatcher};
--- a/crates/decide/src/network.rs
+++ b/crates/decide/src/network.rs
@@ -18,18 +18,18 @@
 pub struct Network {
     pub(crate) neurons: Vec<Neuron>,
     place: Vec<Option<u32>>,
-    plus_all: f64,
-    minus_all: f64,
-    threshold: Option<f64>,
-    stale: bool,
+    pub(crate) plus_all: f64,
+    pub(crate) minus_all: f64,
+    pub(crate) threshold: Option<f64>,
+    pub(crate) stale: bool,
 }
 
 #[derive(Clone, Debug)]
 pub(crate) struct Neuron {
     pub(crate) worker: usize,
     kind: KindId,
-    plus: f64,
-    minus: f64,
+    pub(crate) plus: f64,
+    pub(crate) minus: f64,
     pub(crate) q: f64,
 }
 
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -9,7 +9,9 @@
 use crate::fading::{Fading, fade, toward};
 use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
+mod carry;
 pub use crate::network::Network;
+pub use carry::Carried;
 use crate::state::{Attempt, Job, Known, Learned, Peer, Random, Repeat, Share};
 use rustc_hash::FxHashMap;
 
@@ -93,11 +95,10 @@
 impl Dispatcher {
     /// A dispatcher that has just started.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let learned = |c: &Class| Learned { run: (c.aim as f64).max(1e6), seen: false, longest: 0 };
         Dispatcher {
             rng: Random(fastrand::Rng::with_seed(seed)),
             nets: vec![Network::default(); settings.classes.len()],
-            learned: settings.classes.iter().map(learned).collect(),
+            learned: settings.classes.iter().map(Learned::new).collect(),
             kind_slots: vec![0.0; settings.kinds],
             share: vec![Share::default(); settings.tenants.len()],
             waits: vec![Fading::default(); settings.zones],
@@ -112,6 +113,7 @@
         match event {
             Event::Workers { kind, entries } => self.workers_news(kind, entries, out),
             Event::ListFailed => self.list_failed(out),
+            Event::Settings(settings, starts) => self.retune(*settings, &starts),
             Event::Request(request) => self.request(request, out),
             Event::Gone(id) => {
                 // Nobody waits for it any more: its slots are for others.
@@ -340,6 +342,7 @@
         toward(&mut self.mean_worth, worth, 0.01);
         let job = Job {
             arrived: self.now,
+            most: self.set.limits.max_attempts,
             deadline: self.now.saturating_add(request.remaining),
             start_by,
             in_share,
@@ -395,7 +398,7 @@
         if job.answered || job.out() > 0 {
             return true;
         }
-        let spent = job.attempts.len() as u32 >= self.set.limits.max_attempts.max(1);
+        let spent = job.attempts.len() as u32 >= job.most.max(1);
         if self.now >= last || spent || self.repeat(job) == Repeat::Never {
             self.end(id, out);
             return true;
--- /dev/null
+++ b/crates/decide/src/rules/carry.rs
@@ -0,0 +1,192 @@
+//! What a dispatcher knows, carried over: to the process that takes its place, and from old settings to new ones.
+//! Nothing is decided here.
+
+use super::Dispatcher;
+use crate::api::*;
+use crate::fading::Fading;
+use crate::network::Network;
+use crate::state::{Learned, Share, Told};
+use serde::{Deserialize, Serialize};
+
+/// What was learned, without requests. Classes, tenants, kinds and zones stand in the order of the settings it was
+/// learned under.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Carried {
+    classes: Vec<Option<OfClass>>,
+    tenants: Vec<Option<Share>>,
+    kinds: Vec<Option<f64>>,
+    zones: Vec<Option<Fading>>,
+    workers: Vec<OfWorker>,
+    turn: u16,
+    mean_run: f64,
+    mean_worth: f64,
+    mean_need: f64,
+    most_need: f64,
+    mean_value: f64,
+    others_part: f64,
+    crowded: f64,
+}
+
+/// A class's network and figures.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct OfClass {
+    learned: Learned,
+    plus_all: f64,
+    minus_all: f64,
+    threshold: Option<f64>,
+    /// Worker, plus, minus, q.
+    neurons: Vec<(u64, f64, f64, f64)>,
+}
+
+/// What is known of a worker.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct OfWorker {
+    id: u64,
+    started: Nanos,
+    slots: Option<f64>,
+    others: f64,
+    reported: Nanos,
+    failures: Fading,
+    full_until: Nanos,
+    cold_credit: f64,
+    cold_at: Nanos,
+    cold_phase: f64,
+    /// Peer, turn, slots, since.
+    told: Vec<(u32, u16, Fading, Nanos)>,
+}
+
+fn arrange<T: Clone>(all: &mut Vec<Option<T>>, from: &[Option<usize>]) {
+    *all = from.iter().map(|at| at.and_then(|at| all.get(at).cloned().flatten())).collect();
+}
+
+/// For each name of the first list, its place in the second.
+fn places(names: &[String], among: &[String]) -> Vec<Option<usize>> {
+    names.iter().map(|name| among.iter().position(|other| other == name)).collect()
+}
+
+impl Carried {
+    /// The same in the order of other settings: classes, tenants, kinds and zones are known by their names.
+    pub fn arranged(mut self, old: &crate::boot::Names, new: &crate::boot::Names) -> Carried {
+        arrange(&mut self.classes, &places(&new.classes, &old.classes));
+        arrange(&mut self.tenants, &places(&new.tenants, &old.tenants));
+        arrange(&mut self.kinds, &places(&new.kinds, &old.kinds));
+        arrange(&mut self.zones, &places(&new.zones, &old.zones));
+        self
+    }
+}
+
+impl Dispatcher {
+    /// All that is worth carrying over.
+    pub fn carried(&self) -> Carried {
+        let id = |w: usize| self.workers[w].entry.id.0;
+        let of_class = |(net, learned): (&Network, &Learned)| {
+            let neurons = net.neurons.iter().map(|n| (id(n.worker), n.plus, n.minus, n.q)).collect();
+            let (plus_all, minus_all, threshold) = (net.plus_all, net.minus_all, net.threshold);
+            Some(OfClass { learned: learned.clone(), plus_all, minus_all, threshold, neurons })
+        };
+        let of_worker = |k: &crate::state::Known| OfWorker {
+            id: k.entry.id.0,
+            started: k.entry.started,
+            slots: k.slots,
+            others: k.others,
+            reported: k.reported,
+            failures: k.failures,
+            full_until: k.full_until,
+            cold_credit: k.cold_credit,
+            cold_at: k.cold_at,
+            cold_phase: k.cold_phase,
+            told: k.told.iter().map(|t| (t.peer.0, t.turn, t.slots, t.at)).collect(),
+        };
+        Carried {
+            classes: self.nets.iter().zip(&self.learned).map(of_class).collect(),
+            tenants: self.share.iter().cloned().map(Some).collect(),
+            kinds: self.kind_slots.iter().copied().map(Some).collect(),
+            zones: self.waits.iter().copied().map(Some).collect(),
+            workers: self.workers.iter().filter(|k| k.listed).map(of_worker).collect(),
+            turn: self.turn,
+            mean_run: self.mean_run,
+            mean_worth: self.mean_worth,
+            mean_need: self.mean_need,
+            most_need: self.most_need,
+            mean_value: self.mean_value,
+            others_part: self.others_part,
+            crowded: self.crowded,
+        }
+    }
+
+    /// Takes over what another dispatcher had learned, in the order of this one's settings, for the workers that are
+    /// listed here.
+    pub fn restore(&mut self, carried: Carried) {
+        for (c, of_class) in carried.classes.into_iter().enumerate().take(self.nets.len()) {
+            let Some(of_class) = of_class else { continue };
+            self.learned[c] = of_class.learned;
+            let net = &mut self.nets[c];
+            (net.plus_all, net.minus_all, net.threshold, net.stale) =
+                (of_class.plus_all, of_class.minus_all, of_class.threshold, true);
+            let by_id: rustc_hash::FxHashMap<u64, (f64, f64, f64)> =
+                of_class.neurons.into_iter().map(|(id, plus, minus, q)| (id, (plus, minus, q))).collect();
+            for n in &mut net.neurons {
+                if let Some(known) = by_id.get(&self.workers[n.worker].entry.id.0) {
+                    (n.plus, n.minus, n.q) = *known;
+                }
+            }
+        }
+        let fill = |own: &mut [f64], from: Vec<Option<f64>>| {
+            own.iter_mut().zip(from).for_each(|(own, from)| *own = from.unwrap_or(*own));
+        };
+        fill(&mut self.kind_slots, carried.kinds);
+        self.share.iter_mut().zip(carried.tenants).for_each(|(own, from)| *own = from.unwrap_or_default());
+        self.waits.iter_mut().zip(carried.zones).for_each(|(own, from)| *own = from.unwrap_or_default());
+        for of_worker in carried.workers {
+            let Some(&w) = self.index.get(&WorkerId(of_worker.id)) else { continue };
+            let known = &mut self.workers[w];
+            // One that has started anew since is cold and holds none of what it held.
+            if known.entry.started != of_worker.started {
+                continue;
+            }
+            (known.slots, known.others, known.reported) =
+                (of_worker.slots, of_worker.others, of_worker.reported);
+            (known.failures, known.full_until) = (of_worker.failures, of_worker.full_until);
+            (known.cold_credit, known.cold_at, known.cold_phase) =
+                (of_worker.cold_credit, of_worker.cold_at, of_worker.cold_phase);
+            let told = of_worker.told.into_iter();
+            known.told =
+                told.map(|(peer, turn, slots, at)| Told { peer: PeerId(peer), turn, slots, at }).collect();
+        }
+        self.turn = carried.turn;
+        (self.mean_run, self.mean_worth, self.mean_need) =
+            (carried.mean_run, carried.mean_worth, carried.mean_need);
+        (self.most_need, self.mean_value) = (carried.most_need, carried.mean_value);
+        (self.others_part, self.crowded) = (carried.others_part, carried.crowded);
+    }
+
+    /// New settings. A class that is kept keeps all that was learned of it; so does one that has changed, under a
+    /// number of its own, while requests of the old one go on by the old one's rules.
+    pub(super) fn retune(&mut self, settings: Settings, starts: &[Start]) {
+        let (nets, learned) = (std::mem::take(&mut self.nets), std::mem::take(&mut self.learned));
+        for (c, class) in settings.classes.iter().enumerate() {
+            let fresh = || (Network::default(), Learned::new(class));
+            let of = |c: usize| Some((nets.get(c)?.clone(), learned.get(c)?.clone()));
+            let (mut net, learned) = match starts.get(c) {
+                Some(Start::From(from)) => of(from.0).unwrap_or_else(fresh),
+                Some(Start::Afresh) => fresh(),
+                _ => of(c).unwrap_or_else(fresh),
+            };
+            for (w, known) in self.workers.iter().enumerate().filter(|k| k.1.listed) {
+                if class.kind.is_none_or(|kind| kind == known.entry.kind) {
+                    net.join(w, known.entry.kind);
+                } else {
+                    net.leave(w);
+                }
+            }
+            self.nets.push(net);
+            self.learned.push(learned);
+        }
+        self.kind_slots.resize(settings.kinds, 0.0);
+        self.share.resize(settings.tenants.len(), Share::default());
+        self.waits.resize(settings.zones, Fading::default());
+        self.set = settings;
+        self.regroup = true;
+    }
+}
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -3,6 +3,7 @@
 use crate::api::*;
 use crate::fading::{Fading, fade};
 use crate::message::Holds;
+use serde::{Deserialize, Serialize};
 
 /// What is known of a worker.
 #[derive(Debug, Default)]
@@ -90,7 +91,7 @@
 }
 
 /// A peer's word on what it holds at a worker.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Told {
     pub(crate) peer: PeerId,
     pub(crate) turn: u16,
@@ -141,6 +142,8 @@
     pub(crate) request: Request,
     pub(crate) arrived: Nanos,
     pub(crate) deadline: Nanos,
+    /// Attempts at most, as the settings had it when the job came.
+    pub(crate) most: u32,
     /// Not sent again before: full answers in a row mean that the next is likely full too.
     pub(crate) not_before: Nanos,
     /// Latest start that still ends within the aim, as far as the class's mean job goes.
@@ -162,7 +165,7 @@
 }
 
 /// What has been learned of a class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Learned {
     /// Mean time of running, without waiting.
     pub(crate) run: f64,
@@ -171,8 +174,15 @@
     pub(crate) longest: Nanos,
 }
 
+impl Learned {
+    /// Nothing yet, but for what the class's aim lets expect.
+    pub(crate) fn new(class: &Class) -> Learned {
+        Learned { run: (class.aim as f64).max(1e6), seen: false, longest: 0 }
+    }
+}
+
 /// A tenant's use of its share here: requests a second, and the bucket that its quota fills.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Share {
     pub(crate) used: Fading,
     pub(crate) level: f64,
