--- a/crates/handover/src/link.rs
+++ b/crates/handover/src/link.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Waits until the link is over.
+    pub async fn ended(&self) {
+        while !self.over() {
+            self.emptied.notified().await;
+        }
+    }
+
     /// Waits until all that was queued is written.
     pub async fn flushed(&self) {
         while !self.over() && !self.out.borrow().is_empty() {
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -82,6 +82,8 @@
     pub forwards: Vec<Forward>,
     /// What it holds of its tenant's shares.
     pub holding: Option<Holding>,
+    /// Slots that it takes at a target.
+    pub slots: f64,
     /// Seconds that its jobs ran, as far as they have ended.
     pub ran: f64,
 }
@@ -133,6 +135,12 @@
     pub calls_no: [u64; CALLS_NO.len()],
     /// Callers cut off without a whole call, for time or for room.
     pub calls_cut: u64,
+    /// Connections taken over from another process.
+    pub adopted: u64,
+    /// Connections passed on to another process.
+    pub passed_on: u64,
+    /// Call-backs passed on to the process that has their flow.
+    pub call_backs_passed: u64,
     /// Configurations read again.
     pub reloads: u64,
     /// Configurations read again and found faulty.
@@ -203,6 +211,8 @@
         for (status, count) in CALLS_NO.iter().zip(c.calls_no).filter(|n| n.1 > 0) {
             write!(f, " calls_{status}={count}")?;
         }
+        write!(f, "; adopted={} passed_on={}", c.adopted, c.passed_on)?;
+        write!(f, " call_backs_passed={}", c.call_backs_passed)?;
         write!(f, "; reloads={} reload_faults={}", c.reloads, c.reload_faults)?;
         write!(f, "; peers: in={} out={}; panics={}", c.peers_in, c.peers_out, c.panics)
     }
@@ -270,6 +280,17 @@
         flow.holding.map(|holding| (holding, flow.ran))
     }
 
+    /// Slots that forwards hold at targets, by these.
+    pub fn held(&self) -> HashMap<Rc<str>, f64> {
+        let mut held = HashMap::new();
+        for flow in self.flows.values() {
+            for forward in flow.forwards.iter().filter(|f| f.stage != Stage::Ended) {
+                *held.entry(Rc::clone(&forward.host)).or_insert(0.0) += flow.slots;
+            }
+        }
+        held
+    }
+
     /// Flows that are owed an answer.
     pub fn owed(&self) -> usize {
         self.owed
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
 
 /// Descriptors kept aside for the runtime, the log, discovery, peers and the listener itself.
@@ -23,6 +24,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// The number of the listening socket that the platform holds for us, if it does.
+    pub inherited: Option<RawFd>,
     /// Where staff call, if anywhere.
     pub control: Option<SocketAddr>,
     /// Seed of the module's random numbers.
@@ -106,7 +109,14 @@
         raw.listen = env("LB_LISTEN").or(raw.listen);
         raw.discovery = env("LB_DISCOVERY").or(raw.discovery);
         raw.control = raw.control.or(env("LB_CONTROL"));
-        raw.check(path, keys)
+        let mut config = raw.check(path, keys)?;
+        config.inherited = match env("LB_FD") {
+            Some(text) => {
+                Some(text.parse().map_err(|_| format!("LB_FD: {text:?} is no number of a descriptor"))?)
+            }
+            None => None,
+        };
+        Ok(config)
     }
 
     /// Reads the same file again. `LB_DISCOVERY` was set at the start and cannot have changed since, so here
@@ -171,6 +181,7 @@
             name: self.name.unwrap_or_else(|| "loomlb".into()),
             listen: address("listen", &needed("listen", self.listen)?)?,
             discovery: address("discovery", &needed("discovery", self.discovery)?)?,
+            inherited: None,
             control,
             seed,
             inbound: usable - outbound,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -2,9 +2,10 @@
 //! the clients' listener is at. What a call means is decided in `loomlb-control`.
 
 use super::http::{Fault, Kind, Message, Wire, response};
-use super::{Scheduler, discovery};
+use super::{Scheduler, discovery, upgrade};
 use loomlb_control::call::{self, Call};
 use loomlb_control::service::State;
+use loomlb_handover::words::Ask;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -103,7 +104,7 @@
     };
     seat.hold();
     let reply = match read {
-        Some(Ok(message)) => answer(&s, &message),
+        Some(Ok(message)) => answer(&s, &message).await,
         Some(Err(Fault::Closed | Fault::Broken)) => {
             s.book.borrow_mut().counters.calls_cut += 1;
             return;
@@ -132,7 +133,7 @@
 }
 
 /// Carries a call out and says what has come of it.
-fn answer(s: &Rc<Scheduler>, message: &Message) -> Reply {
+async fn answer(s: &Rc<Scheduler>, message: &Message) -> Reply {
     let call = match Call::read(&message.method, &message.path) {
         Ok(call) => call,
         Err(call::Fault::Malformed) => return no(400, "malformed path"),
@@ -148,19 +149,21 @@
         return no(404, "unknown worker");
     }
     if call != Call::Ready {
-        let changed = carry_out(s, &call);
-        tracing::info!("control: {call:?}{}", if changed { "" } else { ": so already" });
+        carry_out(s, &call);
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        upgrade::ask(s, &Ask::Order(text(&message.method), text(&message.path)), None).await;
     }
     let service = s.shutdown.service();
     match &call {
         Call::Ready if service.ending() => no(503, "ending"),
+        Call::Ready if !s.upgrade.accepts() => no(503, s.upgrade.why_not()),
         Call::OutOfService | Call::InService if service.ending() => no(503, "ending"),
         _ => Reply { status: 200, body: state(s), allow: None },
     }
 }
 
-/// Does what a call orders; whether that changed anything.
-fn carry_out(s: &Rc<Scheduler>, call: &Call) -> bool {
+/// Does what a call orders.
+fn carry_out(s: &Rc<Scheduler>, call: &Call) {
     let now = s.clock.now();
     let changed = match call {
         Call::Ready => false,
@@ -174,7 +177,14 @@
     {
         discovery::ordered(s, host);
     }
-    changed
+    tracing::info!("control: {call:?}{}", if changed { "" } else { ": so already" });
+}
+
+/// Does what the other process was ordered: both are one scheduler.
+pub fn passed_on(s: &Rc<Scheduler>, method: &str, path: &str) {
+    if let Ok(call) = Call::read(method.as_bytes(), path.as_bytes()) {
+        carry_out(s, &call);
+    }
 }
 
 /// What staff see with every yes.
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -5,7 +5,7 @@
 use super::{Scheduler, route};
 use loomlb_control::orders::{Effect, Orders};
 use loomlb_decide::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -32,8 +32,10 @@
     pub dial: SocketAddr,
     /// When it was told to be draining or gone, if it is.
     pub leaving: Option<Nanos>,
-    /// Discovery's own word on it.
+    /// Discovery's own word on it, as the module reads it,
     word: Worker,
+    /// and as it was written.
+    said: Rc<Host>,
 }
 
 /// The targets that discovery has named.
@@ -44,10 +46,13 @@
     /// Where discovery answers, if a reload has named another address than the start did.
     address: Cell<Option<SocketAddr>>,
     moved: Notify,
+    /// The version of the list that was taken in last.
+    seq: Cell<Option<u64>>,
 }
 
-#[derive(Deserialize, Default)]
-struct List {
+/// The list, in discovery's form.
+#[derive(Clone, Debug, Deserialize, Serialize, Default)]
+pub struct List {
     #[serde(default)]
     seq: u64,
     #[serde(default)]
@@ -56,7 +61,7 @@
     hosts: Vec<Host>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 struct Host {
     host: String,
     #[serde(default)]
@@ -80,7 +85,7 @@
 
 /// A target's number: the same at every scheduler, and no more than 32 bits, as peers' messages cut the rest.
 /// Names of the usual form carry such a number; others are hashed (FNV-1a).
-fn number(host: &str) -> WorkerId {
+pub fn number(host: &str) -> WorkerId {
     let plain = host.strip_prefix("s-").filter(|hex| hex.len() == 8 && !hex.starts_with('+'));
     let hash = || host.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
     WorkerId(plain.and_then(|hex| u32::from_str_radix(hex, 16).ok()).unwrap_or_else(hash).into())
@@ -102,6 +107,23 @@
         self.asked.notify_one();
     }
 
+    /// The list as it was last told, targets that have left not long ago included.
+    pub fn list(&self) -> List {
+        let health = |state| match state {
+            WorkerState::Ready => "active",
+            WorkerState::Draining => "leaving",
+            WorkerState::Gone => "left",
+        };
+        let targets = self.targets.borrow();
+        let hosts = targets.values().map(|t| Host { health: health(t.word.state).into(), ..(*t.said).clone() });
+        List { seq: self.seq.get().unwrap_or(0), whole: self.seq.get().is_some(), hosts: hosts.collect() }
+    }
+
+    /// Where discovery answers, if a reload has named another address than the start did.
+    pub fn moved_to(&self) -> Option<SocketAddr> {
+        self.address.get()
+    }
+
     /// Discovery answers at this address from now on.
     pub fn follow_at(&self, address: SocketAddr) {
         self.address.set(Some(address));
@@ -175,7 +197,7 @@
         let worker =
             Worker { cell: CellId(host.block), state, weight: host.share, started, ..Worker::new(id) };
         let word = s.config.names.worker(&host.site, &host.class, worker);
-        let target = Target { host: host.host.into(), dial, leaving, word };
+        let target = Target { host: host.host.as_str().into(), dial, leaving, word, said: Rc::new(host) };
         entries.push(effective(&s.orders.borrow(), &target));
         targets.insert(id, target);
     }
@@ -185,41 +207,41 @@
     route::feed(s, Event::Workers { kind, entries });
 }
 
-/// Starts from the list that the configuration brought, and returns its version if it was a whole one.
-pub fn start(s: &Rc<Scheduler>) -> Option<u64> {
-    let known = match &s.config.known {
+/// Starts from this list, or from the one that the configuration brought, and follows discovery from its version on if
+/// it was a whole one.
+pub fn start(s: &Rc<Scheduler>, list: Option<List>) {
+    let known = list.unwrap_or_else(|| match &s.config.known {
         serde_json::Value::Null => List::default(),
         known => List::deserialize(known).unwrap_or_else(|e| {
             tracing::error!("configuration: known: {e}; starting without targets");
             List::default()
         }),
-    };
-    let seq = known.whole.then_some(known.seq);
+    });
+    s.group.seq.set(known.whole.then_some(known.seq));
     take(s, known, ListKind::Persisted);
-    seq
 }
 
 /// Keeps up with discovery for as long as the program runs. While it is silent the last list stays. What has changed
-/// since version `seq` is all that is asked for: were every scheduler of a large tier to ask for the whole list at its
+/// since the version we have is all that is asked for: were every scheduler of a large tier to ask for the whole list at its
 /// start, the service of the list would fail them all.
-pub async fn follow(s: Rc<Scheduler>, mut seq: Option<u64>) {
+pub async fn follow(s: Rc<Scheduler>) {
     loop {
         if s.config.settings.ask_for_list {
             tokio::select! {
                 () = s.group.asked.notified() => {}
-                () = s.group.moved.notified() => seq = None,
+                () = s.group.moved.notified() => s.group.seq.set(None),
             }
         }
         let fault = loop {
             tokio::select! {
                 // A connection that was closed with its answer is no fault: the next watch must be quick.
-                ended = session(&s, &mut seq) => if let Err(fault) = ended {
+                ended = session(&s) => if let Err(fault) = ended {
                     break fault;
                 },
                 // At another address the versions may be others, and a watch that still waits at the old one
                 // would be told nothing more: the whole list is asked for at once. Until it comes the old
                 // stays.
-                () = s.group.moved.notified() => seq = None,
+                () = s.group.moved.notified() => s.group.seq.set(None),
             }
         };
         s.book.borrow_mut().counters.list_faults += 1;
@@ -233,12 +255,13 @@
 
 /// One connection to discovery: a call at once, then one watch after the other, until it is closed in good
 /// order or something fails.
-async fn session(s: &Rc<Scheduler>, seq: &mut Option<u64>) -> Result<(), &'static str> {
+async fn session(s: &Rc<Scheduler>) -> Result<(), &'static str> {
     let address = s.group.address.get().unwrap_or(s.config.discovery);
     let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(address));
     let Ok(Ok(stream)) = dial.await else { return Err("no connection") };
     let mut wire = Wire::new(stream);
     loop {
+        let seq = s.group.seq.get();
         let query = match seq {
             Some(seq) => format!("?from={seq}&hold_ms={}", HOLD.as_millis()),
             None => String::new(),
@@ -256,7 +279,7 @@
         };
         let Ok(list) = serde_json::from_slice::<List>(&answer.body) else { return Err("a malformed list") };
         let kind = if list.whole { ListKind::Complete } else { ListKind::Partial };
-        *seq = Some(list.seq);
+        s.group.seq.set(Some(list.seq));
         s.book.borrow_mut().counters.lists += 1;
         tracing::debug!(seq = list.seq, whole = list.whole, entries = list.hosts.len(), "list");
         if kind == ListKind::Complete || !list.hosts.is_empty() {
--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use std::io;
+use std::os::fd::{AsFd, OwnedFd};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -183,6 +184,11 @@
         Wire { stream, buf: BytesMut::new() }
     }
 
+    /// A second descriptor of the connection, which stays open when this one is dropped.
+    pub fn descriptor(&self) -> io::Result<OwnedFd> {
+        self.stream.as_fd().try_clone_to_owned()
+    }
+
     /// Whether something has come that was not read as a message yet.
     pub fn has_input(&self) -> bool {
         !self.buf.is_empty()
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -3,10 +3,13 @@
 use super::admit::{Offer, Rejection, admit};
 use super::book::{Answer, Work};
 use super::http::{Fault, Kind, Message, Wire, response};
-use super::{Scheduler, relay};
+use super::relay::{self, Heard};
+use super::{Scheduler, upgrade};
 use loomlb_decide::Nanos;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -67,6 +70,11 @@
         Listener { limit, seats: RefCell::default(), next: Cell::new(0), left: Notify::new() }
     }
 
+    /// Connections.
+    pub fn taken(&self) -> usize {
+        self.seats.borrow().len()
+    }
+
     /// Connections that are within a request.
     pub fn engaged(&self) -> usize {
         self.seats.borrow().values().filter(|s| matches!(s.state, State::Partial(_) | State::Served)).count()
@@ -141,16 +149,24 @@
 pub async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
     let mut failing = false;
     loop {
-        if s.listener.seats.borrow().len() >= s.listener.limit {
+        if !s.upgrade.accepts() {
+            s.upgrade.turned.notified().await;
+            continue;
+        }
+        if s.listener.taken() + s.upgrade.elsewhere().inbound >= s.listener.limit {
             s.listener.evict(s.clock.now());
             let _ = tokio::time::timeout(ACCEPT_PAUSE, s.listener.left.notified()).await;
             continue;
         }
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = s.upgrade.turned.notified() => continue,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 failing = false;
                 s.book.borrow_mut().counters.connections += 1;
-                tokio::task::spawn_local(serve(Seat::new(&s), stream));
+                tokio::task::spawn_local(serve(Seat::new(&s), stream, false, true));
             }
             Err(e) => {
                 s.book.borrow_mut().counters.accept_faults += 1;
@@ -165,6 +181,18 @@
     }
 }
 
+/// Goes on with an idle connection that another process has passed on.
+pub fn adopt(s: &Rc<Scheduler>, descriptor: OwnedFd, calls_back: bool, fresh: bool) -> io::Result<()> {
+    let stream = std::net::TcpStream::from(descriptor);
+    stream.set_nonblocking(true)?;
+    let seat = Seat::new(s);
+    if !fresh {
+        seat.useful();
+    }
+    tokio::task::spawn_local(serve(seat, TcpStream::from_std(stream)?, calls_back, fresh));
+    Ok(())
+}
+
 /// What the listener answers, and whether the connection goes on.
 struct Reply {
     status: u16,
@@ -178,19 +206,29 @@
     }
 }
 
-async fn serve(seat: Seat, stream: TcpStream) {
+async fn serve(seat: Seat, stream: TcpStream, mut calls_back: bool, mut first: bool) {
     let s = Rc::clone(&seat.s);
     let mut wire = Wire::new(stream);
-    let (mut calls_back, mut first) = (false, true);
     let begun = Instant::now();
     loop {
         if !wire.has_input() {
             let now = s.clock.now();
             let until = if first { begun + WHOLE } else { Instant::now() + IDLE };
             seat.is(if first { State::Silent(now) } else { State::Idle(now) });
-            if !wait(&seat, &mut wire, calls_back, until).await {
-                s.book.borrow_mut().counters.silent += u64::from(first);
-                return;
+            match wait(&seat, &mut wire, calls_back, until).await {
+                Next::Request => {}
+                Next::Over => {
+                    s.book.borrow_mut().counters.silent += u64::from(first);
+                    return;
+                }
+                Next::PassOn => {
+                    let (heir, descriptor) = (s.upgrade.heir(), wire.descriptor());
+                    drop(wire);
+                    if let (Some(heir), Ok(descriptor)) = (heir, descriptor) {
+                        heir.give_client(&s, descriptor, calls_back, first);
+                    }
+                    return;
+                }
             }
         }
         seat.is(State::Partial(s.clock.now()));
@@ -237,10 +275,23 @@
     }
 }
 
-/// Waits for the first byte of a request; false if the connection is over. One that we close is looked at
-/// once more: what has arrived by then is a request like any other.
-async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool, until: Instant) -> bool {
+/// What comes next on a connection that is idle.
+enum Next {
+    /// A request has begun.
+    Request,
+    /// Nothing; it is over.
+    Over,
+    /// Another process goes on with it.
+    PassOn,
+}
+
+/// Waits for the first byte of a request. A connection that we close is looked at once more: what has arrived by then
+/// is a request like any other.
+async fn wait(seat: &Seat, wire: &mut Wire, calls_back: bool, until: Instant) -> Next {
     let s = &seat.s;
+    if s.upgrade.heir().is_some() {
+        return Next::PassOn;
+    }
     // A connection that has just come has its request on the way, or asks for health.
     let parted = async {
         loop {
@@ -253,15 +304,16 @@
     let ours = tokio::select! {
         filled = wire.fill() => {
             if !matches!(filled, Ok(n) if n > 0) {
-                return false;
+                return Next::Over;
             }
             false
         }
+        () = s.upgrade.moved.notified() => return Next::PassOn,
         () = seat.close.notified() => true,
         () = parted, if !calls_back => true,
         () = tokio::time::sleep_until(until) => true,
     };
-    !ours || wire.poll_input() && wire.has_input()
+    if !ours || wire.poll_input() && wire.has_input() { Next::Request } else { Next::Over }
 }
 
 /// The reply to a request; none if its client has gone.
@@ -278,11 +330,18 @@
         HEALTH if !s.shutdown.service().healthy() => return Some(Reply::plain(503, "out of service")),
         HEALTH => return Some(Reply::plain(200, "ready")),
         CALL_BACKS if method != b"POST" => return Some(Reply::plain(405, "only POST is served here")),
-        CALL_BACKS if relay::call_back(s, &message.body) => {
-            seat.useful();
-            return Some(Reply::plain(200, "noted"));
+        CALL_BACKS => {
+            return Some(match relay::call_back(s, &message.body) {
+                Heard::Malformed => Reply::plain(400, "malformed call-back"),
+                Heard::Stranger if !upgrade::pass_call_back(s, &message.body).await => {
+                    Reply::plain(503, "its process does not answer")
+                }
+                _ => {
+                    seat.useful();
+                    Reply::plain(200, "noted")
+                }
+            });
         }
-        CALL_BACKS => return Some(Reply::plain(400, "malformed call-back")),
         _ => {}
     }
     let offer = match offer(s, message, path) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod send;
 pub mod shares;
 pub mod shutdown;
+pub mod upgrade;
 pub mod wheel;
 
 use config::Config;
@@ -60,6 +61,8 @@
     pub listener: intake::Listener,
     /// Whether the end has come.
     pub shutdown: shutdown::Shutdown,
+    /// The process before this one, and the one after it.
+    pub upgrade: upgrade::Upgrade,
     /// Nested quotas, where the operator has them.
     pub shares: shares::Shares,
 }
@@ -72,12 +75,20 @@
 
 async fn run(config: Config, quotas: shares::Quotas) -> io::Result<()> {
     let named = |what: &str, e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
-    let listener = TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?;
+    let listener = match config.inherited {
+        Some(number) => {
+            let inherited = loomlb_inherit::listener(number).and_then(TcpListener::from_std);
+            inherited.map_err(|e| named(&format!("LB_FD: descriptor {number}"), e))?
+        }
+        None => TcpListener::bind(config.listen).await.map_err(|e| named("listen", e))?,
+    };
     let calls = match config.control {
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| named("control", e))?),
         None => None,
     };
-    let peers = peers::Peers::open(&config).await.map_err(|e| named("peer_listen", e))?;
+    let mut before = upgrade::predecessor(&config).await;
+    let socket = before.as_mut().and_then(upgrade::Before::peers);
+    let peers = peers::Peers::open(&config, socket).await.map_err(|e| named("peer_listen", e))?;
     let clock = clock::Clock::default();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     // Off on the platform: without quotas at the start nothing more is said among schedulers.
@@ -94,6 +105,7 @@
         group: discovery::Group::default(),
         orders: RefCell::default(),
         shutdown: shutdown::Shutdown::new(longest),
+        upgrade: upgrade::Upgrade::new(&config, before.is_some()),
         clock,
         peers,
         config,
@@ -102,10 +114,10 @@
     reload::start(&s)?;
     let signals = shutdown::Signals::new()?;
     tracing::info!("{} serves at {}", s.config.name, listener.local_addr()?);
-    let seq = discovery::start(&s);
+    upgrade::start(&s, before);
     send::sweep(&s);
     spawn_local(wheel::turn(Rc::clone(&s)));
-    spawn_local(discovery::follow(Rc::clone(&s), seq));
+    spawn_local(discovery::follow(Rc::clone(&s)));
     spawn_local(peers::listen(Rc::clone(&s)));
     if quotas_on {
         spawn_local(peers::share(Rc::clone(&s)));
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -3,8 +3,10 @@
 use super::{Scheduler, route};
 use crate::config::Config;
 use loomlb_decide::{Event, PeerId, Receiver};
+use std::cell::OnceCell;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -12,36 +14,57 @@
 /// A longer datagram breaks a rule of the platform.
 const MAX: usize = 256;
 
+/// Pause before the socket is looked at again, while another process has it.
+const AGAIN: Duration = Duration::from_millis(20);
 /// Time between two digests of traffic.
 const TALK: Duration = Duration::from_millis(250);
 
 /// The socket to the peers, where there are any.
 #[derive(Debug, Default)]
 pub struct Peers {
-    socket: Option<UdpSocket>,
+    socket: OnceCell<UdpSocket>,
+    /// Where to open it, if another process has it still.
+    later: Option<SocketAddr>,
 }
 
 impl Peers {
-    /// Opens the socket if the configuration names one and the site allows messages.
-    pub async fn open(config: &Config) -> io::Result<Peers> {
-        match config.peer_listen.filter(|_| config.settings.limits.peers) {
-            Some(at) => {
-                let socket = UdpSocket::bind(at).await?;
-                // The runtime does not know yet that the socket is writable, and would drop the module's
-                // first word, by which the schedulers find each other.
-                socket.writable().await?;
-                Ok(Peers { socket: Some(socket) })
+    /// Opens the socket if the configuration names one and the site allows messages, or takes over the one that came
+    /// from the process before. Where one runs beside us that has it still, it is opened later.
+    pub async fn open(config: &Config, taken_over: Option<OwnedFd>) -> io::Result<Peers> {
+        let Some(at) = config.peer_listen.filter(|_| config.settings.limits.peers) else {
+            return Ok(Peers::default());
+        };
+        let socket = match taken_over {
+            Some(descriptor) => UdpSocket::from_std(descriptor.into()),
+            None => UdpSocket::bind(at).await,
+        };
+        let socket = match socket {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && config.inherited.is_some() => {
+                tracing::warn!("peer_listen: {e}; waiting for the process that has it");
+                return Ok(Peers { socket: OnceCell::new(), later: Some(at) });
             }
-            None => Ok(Peers::default()),
-        }
+            socket => socket?,
+        };
+        // The runtime does not know yet that the socket is writable, and would drop the module's first word, by
+        // which the schedulers find each other.
+        socket.writable().await?;
+        Ok(Peers { socket: OnceCell::from(socket), later: None })
+    }
+
+    /// A second descriptor of the socket, for the process that takes over.
+    pub fn descriptor(&self) -> Option<OwnedFd> {
+        self.socket.get()?.as_fd().try_clone_to_owned().ok()
     }
 
     /// Sends a message, once and without waiting: peers' messages may be lost anyway.
     pub fn tell(&self, s: &Scheduler, to: Receiver, bytes: &[u8]) {
-        let Some(socket) = self.socket.as_ref().filter(|_| bytes.len() <= MAX) else { return };
+        // Of two processes the one that accepts speaks for both: peers know the scheduler, not its processes.
+        let speaks = bytes.len() <= MAX && s.upgrade.accepts();
+        let Some(socket) = self.socket.get().filter(|_| speaks) else { return };
         let (all, me) = (&s.config.peers, s.config.settings.me.0 as usize);
         let others = || all.iter().enumerate().filter(|p| p.0 != me).map(|p| *p.1);
         let receivers: Vec<SocketAddr> = match to {
+            Receiver::One(peer) if peer.0 as usize == me => Vec::new(),
             Receiver::One(peer) => all.get(peer.0 as usize).copied().into_iter().collect(),
             Receiver::All if others().next().is_none() => Vec::new(),
             Receiver::All => s.config.peers_all.map_or_else(|| others().collect(), |all| vec![all]),
@@ -56,9 +79,6 @@
 
 /// Tells peers of the traffic here, for as long as the program runs and where the operator has quotas.
 pub async fn share(s: Rc<Scheduler>) {
-    if s.peers.socket.is_none() {
-        return;
-    }
     loop {
         tokio::time::sleep(TALK).await;
         for word in s.shares.talk(s.clock.now()) {
@@ -69,10 +89,23 @@
 
 /// Takes in peers' datagrams for as long as the program runs; strangers' are dropped.
 pub async fn listen(s: Rc<Scheduler>) {
-    let Some(socket) = &s.peers.socket else { return };
+    while let Some(at) = s.peers.later.filter(|_| s.peers.socket.get().is_none()) {
+        if let Ok(socket) = UdpSocket::bind(at).await {
+            let _ = s.peers.socket.set(socket);
+        } else {
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+    let Some(socket) = s.peers.socket.get() else { return };
     let mut buf = [0; MAX + 1];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buf).await else {
+        let _ = socket.readable().await;
+        // Of two processes that share the socket one hears.
+        if !s.upgrade.accepts() {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        }
+        let Ok((length, from)) = socket.try_recv_from(&mut buf) else {
             // An earlier datagram found nobody; the socket itself is fine.
             tokio::task::yield_now().await;
             continue;
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -90,23 +90,35 @@
     load: Option<serde_json::Value>,
 }
 
+/// What a call-back was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Malformed.
+    Malformed,
+    /// Of a flow that is here.
+    Noted,
+    /// Of no flow that is here.
+    Stranger,
+}
+
 /// Takes in a call-back. It may be early, late, repeated, or of a forward given up: only the last forward of
-/// that flow to that target counts, and only while it is out. False if it is malformed.
-pub fn call_back(s: &Rc<Scheduler>, body: &[u8]) -> bool {
-    let Ok(said) = serde_json::from_slice::<CallBack>(body) else { return false };
+/// that flow to that target counts, and only while it is out.
+pub fn call_back(s: &Rc<Scheduler>, body: &[u8]) -> Heard {
+    let Ok(said) = serde_json::from_slice::<CallBack>(body) else { return Heard::Malformed };
     if !["started", "running", "done", "failed", "returned", "lost"].contains(&&*said.state) {
-        return false;
+        return Heard::Malformed;
     }
     let mut book = s.book.borrow_mut();
     book.counters.call_backs += 1;
-    let found = book.find(said.id.as_bytes()).and_then(|id| {
+    let Some(id) = book.find(said.id.as_bytes()) else { return Heard::Stranger };
+    let found = Some(id).and_then(|id| {
         let forwards = &book.flow(id)?.forwards;
         let n = forwards.iter().rposition(|f| *f.host == *said.from)?;
         matches!(forwards[n].stage, Stage::Written | Stage::Taken).then_some((id, n as u32))
     });
     let Some((id, n)) = found else {
         book.counters.call_backs_unknown += 1;
-        return true;
+        return Heard::Noted;
     };
     if said.state == "started"
         && let Some(forward) = book.forward(id, n)
@@ -132,5 +144,5 @@
         "lost" => ended(s, id, n, Outcome::Reset, report),
         _ => ended(s, id, n, Outcome::Error, report),
     }
-    true
+    Heard::Noted
 }
--- a/crates/scheduler/src/route.rs
+++ b/crates/scheduler/src/route.rs
@@ -3,7 +3,7 @@
 use super::book::Answer;
 use super::wheel::Due;
 use super::{Scheduler, relay, send};
-use loomlb_decide::{Action, Dispatcher, Event};
+use loomlb_decide::{Action, Carried, Dispatcher, Event};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -18,6 +18,16 @@
 }
 
 impl Router {
+    /// What the module has learned.
+    pub fn carried(&self) -> Carried {
+        self.module.borrow().carried()
+    }
+
+    /// Gives the module what another had learned.
+    pub fn restore(&self, carried: Carried) {
+        self.module.borrow_mut().restore(carried);
+    }
+
     /// A router around a module that has just started.
     pub fn new(module: Dispatcher) -> Self {
         Router { module: RefCell::new(module), events: RefCell::default(), busy: Cell::new(false) }
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -7,6 +7,7 @@
 use super::{Scheduler, relay, route};
 use loomlb_decide::{Ended, Event, Nanos, Outcome, Report, Reports, RequestId, WorkerId};
 use std::cell::{Cell, RefCell};
+use std::os::fd::OwnedFd;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,6 +76,25 @@
         learned.unwrap_or(self.keep)
     }
 
+    /// Connections to targets, idle ones included.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Takes out all that is idle, as descriptors, with their targets and since when they are idle.
+    pub fn take_all(&self) -> Vec<(WorkerId, OwnedFd, Nanos)> {
+        let idle = std::mem::take(&mut *self.idle.borrow_mut());
+        let all = idle.into_iter().flat_map(|(to, links)| links.into_iter().map(move |i| (to, i)));
+        all.filter_map(|(to, i)| Some((to, i.link.wire.descriptor().ok()?, i.since))).collect()
+    }
+
+    /// Takes over an idle connection to a target from another process.
+    pub fn adopt(&self, to: WorkerId, stream: TcpStream, since: Nanos) {
+        self.open.set(self.open.get() + 1);
+        let link = Link { wire: Wire::new(stream), open: Rc::clone(&self.open), idle: 0 };
+        self.put(to, link, since);
+    }
+
     /// Closes the idle connections to a target.
     pub fn release(&self, target: WorkerId) {
         self.idle.borrow_mut().remove(&target);
@@ -109,8 +129,8 @@
     }
 
     /// Makes room for one more connection by closing the one idle for longest; false if there is none.
-    fn make_room(&self) -> bool {
-        if self.open.get() < self.limit {
+    fn make_room(&self, elsewhere: usize) -> bool {
+        if self.open.get() + elsewhere < self.limit {
             return true;
         }
         let mut idle = self.idle.borrow_mut();
@@ -125,7 +145,7 @@
         s.book.borrow_mut().counters.reused += 1;
         return Some(link);
     }
-    if !s.pool.make_room() {
+    if !s.pool.make_room(s.upgrade.elsewhere().outbound) {
         tracing::warn!("no descriptor left for a connection to {}", target.host);
         return None;
     }
@@ -262,7 +282,15 @@
     let staying = |t: Target| t.leaving.is_none() && !s.orders.borrow().is_out(&t.host);
     let staying = s.group.target(to).is_some_and(staying);
     if answer.keep_alive && !link.wire.has_input() && staying {
-        s.pool.put(to, link, s.clock.now());
+        // A process that has handed over needs few connections any more: the next job is the other's.
+        match s.upgrade.heir() {
+            None => s.pool.put(to, link, s.clock.now()),
+            Some(heir) => {
+                let descriptor = link.wire.descriptor().ok();
+                drop(link);
+                descriptor.into_iter().for_each(|d| heir.give_target(s, to, d, s.clock.now()));
+            }
+        }
     }
 }
 
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -1,6 +1,6 @@
 //! Shutdown: from SIGTERM to the end, without losing what was taken.
 
-use super::Scheduler;
+use super::{Scheduler, upgrade};
 use loomlb_control::service::Service;
 use loomlb_decide::Nanos;
 use std::cell::Cell;
@@ -96,18 +96,21 @@
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
             _ = signals.report.recv() => report(s),
+            () = upgrade::finished(s) => return,
         }
     }
     let now = s.clock.now();
     s.shutdown.turn(|service| service.end(now));
     tracing::info!("asked to end, {} flows to finish", s.book.borrow().owed());
-    let closing = s.shutdown.service().closing().unwrap_or(now);
-    tokio::time::sleep_until(s.clock.instant(closing)).await;
     loop {
-        if s.book.borrow().owed() == 0 && s.listener.engaged() == 0 {
+        let over = || s.book.borrow().owed() == 0 && s.listener.engaged() == 0;
+        if upgrade::is_finished(s) {
+            return upgrade::finished(s).await;
+        }
+        if s.shutdown.service().refusing(s.clock.now()) && over() {
             // One more turn: whatever the kernel holds for us by now gets read and answered.
             tokio::time::sleep(Duration::from_millis(20)).await;
-            if s.book.borrow().owed() == 0 && s.listener.engaged() == 0 {
+            if over() {
                 return;
             }
         }
