--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -11,8 +11,8 @@
 use crate::message::{Holds, Message};
 mod carry;
 pub use crate::network::Network;
-pub use carry::Carried;
 use crate::state::{Attempt, Job, Known, Learned, Peer, Random, Repeat, Share};
+pub use carry::Carried;
 use rustc_hash::FxHashMap;
 
 /// Seconds over which a tenant's use is averaged and may run ahead of its share.
--- a/crates/model/src/simulate.rs
+++ b/crates/model/src/simulate.rs
@@ -402,6 +402,8 @@
             Event::Probed { worker, ended } => self.mark(9, &[s, worker.0, ended.outcome as u64]),
             Event::Timer(token) => self.mark(10, &[s, *token]),
             Event::Peer(from, bytes) => self.mark(11, &[s, u64::from(from.0), bytes.len() as u64]),
+            // The model plays no reload.
+            Event::Settings(..) => self.mark(12, &[s]),
         }
     }
 
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -101,7 +101,15 @@
     let (reply, answer) = oneshot::channel();
     let correlation = offer.work.correlation.clone();
     let work = Rc::new(offer.work);
-    let id = book.open(Flow { work, deadline, reply: Some(reply), forwards: Vec::new(), holding, slots, ran: 0.0 });
+    let id = book.open(Flow {
+        work,
+        deadline,
+        reply: Some(reply),
+        forwards: Vec::new(),
+        holding,
+        slots,
+        ran: 0.0,
+    });
     drop(book);
     // A tick later than the last time-out, whose news lets the module answer by itself.
     s.wheel.set(deadline.saturating_add(s.config.settings.tick), Due::Deadline(id));
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -115,7 +115,8 @@
             WorkerState::Gone => "left",
         };
         let targets = self.targets.borrow();
-        let hosts = targets.values().map(|t| Host { health: health(t.word.state).into(), ..(*t.said).clone() });
+        let hosts =
+            targets.values().map(|t| Host { health: health(t.word.state).into(), ..(*t.said).clone() });
         List { seq: self.seq.get().unwrap_or(0), whole: self.seq.get().is_some(), hosts: hosts.collect() }
     }
 
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -297,8 +297,7 @@
 /// Hears the first word of a process that starts.
 async fn receive(s: Rc<Scheduler>, link: Link) {
     let mut inbox = Inbox::default();
-    let Ok(Ok((Word::Hello { version }, _))) =
-        tokio::time::timeout(PATIENCE, link.hear(&mut inbox)).await
+    let Ok(Ok((Word::Hello { version }, _))) = tokio::time::timeout(PATIENCE, link.hear(&mut inbox)).await
     else {
         return;
     };
@@ -469,7 +468,10 @@
 
 /// The other process is over, and what it held with it.
 fn forget(s: &Rc<Scheduler>) {
-    route::feed(s, Event::Peer(s.config.settings.me, Message::Hello(ZoneId(s.config.settings.zone.0)).bytes()));
+    route::feed(
+        s,
+        Event::Peer(s.config.settings.me, Message::Hello(ZoneId(s.config.settings.zone.0)).bytes()),
+    );
 }
 
 /// Asks all other processes; whether it was for one of them, or none if one of them did not answer and no other took it.
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
@@ -112,6 +113,27 @@
     )
 }
 
+/// A platform that holds the listening socket, and a folder that all processes of a scheduler share.
+pub struct Platform {
+    listener: TcpListener,
+    pub folder: tempfile::TempDir,
+}
+
+impl Platform {
+    pub fn new() -> Platform {
+        Platform { listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder: tempfile::tempdir().unwrap() }
+    }
+    /// Has a process inherit the socket, as its standard input.
+    fn lend(&self, command: &mut Command) {
+        let socket: OwnedFd = self.listener.try_clone().unwrap().into();
+        command.stdin(Stdio::from(socket)).env("LB_FD", "0").env("TMPDIR", self.folder.path());
+    }
+    /// Where a process finds the one before it.
+    pub fn link(&self) -> std::path::PathBuf {
+        self.folder.path().join("loomlb-127.0.0.1-0.sock")
+    }
+}
+
 /// The program, running.
 pub struct Stage {
     child: Child,
@@ -130,6 +152,13 @@
     }
     /// The same with further keys of the configuration.
     pub fn with(known: &[&Server], discovery: &Server, more: &str) -> Stage {
+        Stage::launch(known, discovery, more, |_| {})
+    }
+    /// The same on a listening socket that the platform holds, beside whatever process has it already.
+    pub fn beside(known: &[&Server], discovery: &Server, platform: &Platform) -> Stage {
+        Stage::launch(known, discovery, r#""control":"127.0.0.1:0","#, |command| platform.lend(command))
+    }
+    fn launch(known: &[&Server], discovery: &Server, more: &str, with: impl FnOnce(&mut Command)) -> Stage {
         let entries: Vec<String> = known.iter().map(|t| t.entry("active")).collect();
         let config = format!(
             r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","limits":{{"sockets":64}},{more}"known":{},"settings":{SETTINGS}}}"#,
@@ -139,14 +168,11 @@
         let files = tempfile::tempdir().unwrap();
         let file = files.path().join("config.json");
         std::fs::write(&file, &config).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_loomlb"))
-            .args(["serve", "--config"])
-            .arg(&file)
-            .env_clear()
-            .env("LB_DISCOVERY", discovery.at().to_string())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_loomlb"));
+        command.args(["serve", "--config"]).arg(&file).env_clear();
+        command.env("LB_DISCOVERY", discovery.at().to_string()).stderr(Stdio::piped());
+        with(&mut command);
+        let mut child = command.spawn().unwrap();
         let (tell, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
@@ -192,6 +218,16 @@
         line.say(&format!("{call} HTTP/1.1\r\nHost: h\r\n\r\n"));
         line.answer()
     }
+    /// Waits until it says yes to `ready`.
+    pub fn ready(&self) {
+        for _ in 0..1000 {
+            if self.order("GET /control/ready").starts_with("HTTP/1.1 200") {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("it does not become ready");
+    }
     pub fn call_back(&self, body: &str) -> String {
         let length = body.len();
         self.ask(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"))
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,143 @@
+//! Stories of one process that takes over from another.
+
+mod stage;
+
+use loomlb_handover::words::{Frames, VERSION, Word};
+use stage::{Line, Platform, Server, Stage, job, response};
+use std::io::{Read, Write};
+use std::os::unix::net::UnixListener;
+use std::process::Command;
+
+/// Hears a job at a target and takes it.
+fn take(line: &mut Line, id: &str) {
+    assert!(line.hear().contains(id));
+    line.say(&response("202 Accepted", ""));
+}
+
+fn done(target: &Server, id: &str) -> String {
+    format!(r#"{{"id":"{id}","from":"{}","state":"done","result":"{id}"}}"#, target.name)
+}
+
+#[test]
+fn a_process_takes_over_with_flows_open_and_no_client_notices() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let platform = Platform::new();
+    let mut old = Stage::beside(&[&one, &two], &discovery, &platform);
+    old.ready();
+    assert!(old.order("PUT /control/workers/s-00000002/offline").starts_with("HTTP/1.1 200"));
+    // One client has had an answer and keeps its connection, one has said nothing yet, one waits for its job.
+    let (mut kept, mut silent, mut waits) = (old.connect(), old.connect(), old.connect());
+    kept.say(&job("view", "a1", "3.000"));
+    let mut target = one.accept();
+    take(&mut target, "a1");
+    old.call_back(&done(&one, "a1"));
+    assert!(kept.answer().ends_with("a1"));
+    waits.say(&job("lodge", "a2", "4.000"));
+    take(&mut target, "a2");
+    let new = Stage::beside(&[&one, &two], &discovery, &platform);
+    new.ready();
+    assert!(old.order("GET /control/ready").ends_with(r#"{"why":"handed over","yes":false}"#));
+    // An order at either address is one of the scheduler's, and what was ordered before still holds.
+    assert!(old.order("PUT /control/out-of-service").starts_with("HTTP/1.1 200"));
+    assert!(new.ask("GET /healthz HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"));
+    assert!(new.order("PUT /control/in-service").contains(r#""service":"in","workers_out":["s-00000002"]"#));
+    // Kept connections go on: the new process serves what comes on them, over the connection to the target.
+    for (client, id) in [(&mut kept, "b1"), (&mut silent, "b2")] {
+        client.say(&job("view", id, "3.000"));
+        take(&mut target, id);
+        new.call_back(&done(&one, id));
+        assert!(client.answer().ends_with(id));
+    }
+    // The call-back for the open flow comes to the process that does not have it.
+    assert!(new.call_back(&done(&one, "a2")).ends_with("noted"));
+    assert!(waits.answer().ends_with("a2"));
+    assert!(old.ended(), "the old process ends by itself");
+    waits.say(&job("view", "b3", "3.000"));
+    take(&mut target, "b3");
+    new.call_back(&done(&one, "b3"));
+    assert!(waits.answer().ends_with("b3"));
+    insta::assert_snapshot!(
+        new.counters(&["adopted", "call_backs_passed", "call_backs_unknown", "dials"]),
+        @"dials=0 call_backs_unknown=0 adopted=4 call_backs_passed=1"
+    );
+    // A second upgrade after the first.
+    let third = Stage::beside(&[&one, &two], &discovery, &platform);
+    third.ready();
+    assert!(third.order("GET /control/ready").contains(r#""workers_out":["s-00000002"]"#));
+}
+
+#[test]
+fn the_old_process_accepts_again_when_its_successor_dies() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let old = Stage::beside(&[&target], &discovery, &platform);
+    old.ready();
+    let mut waits = old.connect();
+    waits.say(&job("lodge", "a1", "4.900"));
+    let mut line = target.accept();
+    take(&mut line, "a1");
+    for _ in 0..2 {
+        let new = Stage::beside(&[&target], &discovery, &platform);
+        new.ready();
+        drop(new);
+        old.ready();
+        assert!(old.ask("GET /healthz HTTP/1.1\r\n\r\n").ends_with("ready"));
+    }
+    old.call_back(&done(&target, "a1"));
+    assert!(waits.answer().ends_with("a1"));
+}
+
+#[test]
+fn a_process_starts_from_its_configuration_beside_leftovers_and_strangers() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    std::fs::write(platform.link(), "leftover").unwrap();
+    let left = Stage::beside(&[&target], &discovery, &platform);
+    left.ready();
+    drop(left);
+    assert!(platform.link().exists(), "a socket that nobody listens at stays behind");
+    let old = Stage::beside(&[&target], &discovery, &platform);
+    old.ready();
+    drop(old);
+    // Partners that refuse, that end in the midst of a word, that speak another tongue, that say nothing.
+    let refused = Word::Refused("another version".into()).frame(false).unwrap();
+    for said in [&refused[..], &refused[..4], b"\x03\0\0\0\0abc", b""] {
+        std::fs::remove_file(platform.link()).unwrap();
+        let stranger = UnixListener::bind(platform.link()).unwrap();
+        let (say, stays) = (said.to_vec(), said.is_empty());
+        let partner = std::thread::spawn(move || {
+            let (mut stream, _) = stranger.accept().unwrap();
+            let (mut frames, mut piece) = (Frames::default(), [0; 256]);
+            let n = stream.read(&mut piece).unwrap();
+            frames.put(&piece[..n]);
+            assert_eq!(frames.next(), Ok(Some((Word::Hello { version: VERSION }, false))));
+            stream.write_all(&say).unwrap();
+            // Silent until the other side has had enough.
+            let _ = if stays { stream.read(&mut piece) } else { Ok(0) };
+        });
+        let new = Stage::beside(&[&target], &discovery, &platform);
+        new.ready();
+        partner.join().unwrap();
+        assert!(new.ask("GET /healthz HTTP/1.1\r\n\r\n").ends_with("ready"));
+    }
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_start_at_once() {
+    let files = tempfile::tempdir().unwrap();
+    let file = files.path().join("config.json");
+    let config =
+        r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"classes":[{"name":"view"}]}}"#;
+    std::fs::write(&file, config).unwrap();
+    let start = |number: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_loomlb"));
+        command.args(["serve", "-c", file.to_str().unwrap()]).env_clear().env("LB_FD", number);
+        let out = command.stdin(std::process::Stdio::null()).output().unwrap();
+        format!("{}: {}", out.status.code().unwrap(), String::from_utf8_lossy(&out.stderr).trim())
+    };
+    insta::assert_snapshot!([start("seven"), start("99"), start("0")].join("\n"), @r#"
+    2: loomlb: configuration: LB_FD: "seven" is no number of a descriptor
+    1: loomlb: LB_FD: descriptor 99: Bad file descriptor (os error 9)
+    1: loomlb: LB_FD: descriptor 0: Socket operation on non-socket (os error 88)
+    "#);
+}
