Settings that change: a file checked whole, and epochs by class

Change: changes.rs turns a file down whole that lacks a key or has a false deadline or number of attempts; epoch.rs makes the next epoch; the module takes it in between two events (Event::Settings) and keeps what it learned; a flow keeps its class's rules and the attempts of its time. An answer to a question passed on now comes before the partner's leave in upgrade::ask: both could be there at once, and the call-back counted as unknown.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -55,7 +55,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     /// An answer in this time (plus `stretch` times the job's running time) has the full worth.
     pub aim: Nanos,
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -63,8 +63,9 @@
 
 /// Takes an offer in, or says why not.
 pub fn admit(s: &Rc<Scheduler>, offer: Offer) -> Result<Taken, Rejection> {
-    let class = s.config.names.class(&offer.class);
-    let Some(settings) = s.config.settings.classes.get(class) else {
+    let epoch = s.epoch();
+    let class = epoch.names.class(&offer.class);
+    let Some(settings) = epoch.settings.classes.get(class) else {
         return Err(Rejection::Bad("unknown class"));
     };
     if !valid_id(&offer.work.correlation) {
@@ -76,13 +77,14 @@
     if book.find(&offer.work.correlation).is_some() {
         return Err(Rejection::Bad("id already in use"));
     }
-    let full = book.len() >= s.config.terms.max_open
-        || book.body_bytes() + offer.work.body.len() > s.config.body_bytes;
+    let full =
+        book.len() >= epoch.terms.max_open || book.body_bytes() + offer.work.body.len() > s.config.body_bytes;
     if full || s.shutdown.service().refusing(now) {
         book.counters.turned_back += 1;
-        return Err(Rejection::NoRoom(NO_ROOM_WAIT.min(s.config.settings.limits.max_retry_after)));
+        return Err(Rejection::NoRoom(NO_ROOM_WAIT.min(s.epoch().settings.limits.max_retry_after)));
     }
-    let most = s.config.settings.limits.max_retry_after;
+    let longest = epoch.settings.limits.max_retry_after;
+    let most = epoch.settings.limits.max_attempts.max(1);
     let (slots, spread) = (offer.slots.unwrap_or(1.0), book.counters.flows ^ book.counters.turned_back << 32);
     let tenant = offer.tenant.as_deref().unwrap_or("");
     let (holding, in_share) = match s.shares.ask(now, tenant, class, slots, offer.retry, spread) {
@@ -91,7 +93,7 @@
         Share::Stranger => (None, Some(false)),
         Share::Refused(after) => {
             book.counters.turned_back += 1;
-            return Err(Rejection::NoRoom(after.min(most)));
+            return Err(Rejection::NoRoom(after.min(longest)));
         }
     };
     let patience = offer.patience.unwrap_or(settings.deadline);
@@ -108,11 +110,13 @@
         forwards: Vec::new(),
         holding,
         slots,
+        class,
+        most,
         ran: 0.0,
     });
     drop(book);
     // A tick later than the last time-out, whose news lets the module answer by itself.
-    s.wheel.set(deadline.saturating_add(s.config.settings.tick), Due::Deadline(id));
+    s.wheel.set(deadline.saturating_add(s.epoch().settings.tick), Due::Deadline(id));
     let flow = id.0;
     tracing::debug!(
         flow,
@@ -121,7 +125,7 @@
         tenant = offer.tenant.as_deref().unwrap_or(""),
         "taken"
     );
-    let tenant = offer.tenant.and_then(|name| s.config.names.tenants.iter().position(|t| *t == name));
+    let tenant = offer.tenant.and_then(|name| s.epoch().names.tenants.iter().position(|t| *t == name));
     let request = Request {
         id,
         class: ClassId(class),
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -82,6 +82,10 @@
     pub forwards: Vec<Forward>,
     /// What it holds of its tenant's shares.
     pub holding: Option<Holding>,
+    /// Its class, by the number that it had when the flow was taken.
+    pub class: usize,
+    /// Forwards that it may have.
+    pub most: u32,
     /// Slots that it takes at a target.
     pub slots: f64,
     /// Seconds that its jobs ran, as far as they have ended.
@@ -280,6 +284,11 @@
         flow.holding.map(|holding| (holding, flow.ran))
     }
 
+    /// Whether a flow of a class is in the table.
+    pub fn has_class(&self, class: usize) -> bool {
+        self.flows.values().any(|f| f.class == class)
+    }
+
     /// Slots that forwards hold at targets, by these.
     pub fn held(&self) -> HashMap<Rc<str>, f64> {
         let mut held = HashMap::new();
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -1,12 +1,16 @@
 //! The configuration: the one place where it is read, checked and given defaults.
 
-use loomlb_decide::boot::{BootInfo, Names, Terms};
-use loomlb_decide::{PeerId, Settings};
+use super::changes;
+use super::epoch::Epoch;
+use loomlb_decide::PeerId;
+use loomlb_decide::boot::BootInfo;
 use serde::Deserialize;
+use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 /// Descriptors kept aside for the runtime, the log, discovery, peers and the listener itself.
 const RESERVED: usize = 32;
@@ -44,25 +48,25 @@
     pub peers_all: Option<SocketAddr>,
     /// The target group as it was last known, in discovery's form.
     pub known: serde_json::Value,
-    /// The module's settings.
-    pub settings: Settings,
-    /// The names in the settings.
-    pub names: Names,
-    /// What the settings say to the network code.
-    pub terms: Terms,
-    /// The file it was read from, and what stood there.
+    /// The settings of the start.
+    pub epoch: Rc<Epoch>,
+    /// The file it was read from, and what stood there when it was last found good.
     file: PathBuf,
-    keys: Keys,
+    keys: RefCell<Keys>,
 }
 
 /// A configuration as its file has it.
-type Keys = serde_json::Map<String, serde_json::Value>;
+pub type Keys = serde_json::Map<String, serde_json::Value>;
 
 /// What a reload changes.
 #[derive(Debug)]
 pub struct Fresh {
     /// Where discovery answers now.
     pub discovery: SocketAddr,
+    /// The file's settings.
+    pub epoch: Rc<Epoch>,
+    /// What stands in the file.
+    keys: Keys,
     /// Keys that have changed as well, and are read at a start only.
     pub postponed: Vec<String>,
 }
@@ -125,12 +129,21 @@
         let (mut raw, keys) = Raw::read(&self.file)?;
         raw.listen = raw.listen.or_else(|| Some(self.listen.to_string()));
         raw.discovery = raw.discovery.or_else(|| Some(self.discovery.to_string()));
+        let before = self.keys.borrow();
+        changes::check(&before, &keys)?;
         let fresh = raw.check(self.file.clone(), keys)?;
+        let keys = fresh.keys.into_inner();
         // A seed and a known list are for a start, and another one each time.
-        let read = |key: &str| !["discovery", "seed", "known"].contains(&key);
-        let all = self.keys.keys().chain(fresh.keys.keys().filter(|k| !self.keys.contains_key(*k)));
-        let changed = all.filter(|k| read(k) && self.keys.get(*k) != fresh.keys.get(*k));
-        Ok(Fresh { discovery: fresh.discovery, postponed: changed.cloned().collect() })
+        let read = |key: &str| !["discovery", "settings", "seed", "known"].contains(&key);
+        let all = before.keys().chain(keys.keys().filter(|k| !before.contains_key(*k)));
+        let changed = all.filter(|k| read(k) && before.get(*k) != keys.get(*k));
+        let postponed = changed.cloned().collect();
+        Ok(Fresh { discovery: fresh.discovery, epoch: fresh.epoch, keys, postponed })
+    }
+
+    /// What a reload brought is in force: the next one is compared with it.
+    pub fn took(&self, fresh: Fresh) {
+        *self.keys.borrow_mut() = fresh.keys;
     }
 }
 
@@ -191,11 +204,9 @@
             peers: peers?,
             peers_all: optional("peers_all", self.peers_all)?,
             known: self.known,
-            terms: boot.terms(),
-            settings,
-            names,
+            epoch: Rc::new(Epoch { terms: boot.terms(), settings, names }),
             file,
-            keys,
+            keys: RefCell::new(keys),
         })
     }
 }
@@ -205,10 +216,11 @@
         writeln!(f, "name: {}", self.name)?;
         writeln!(f, "listen: {}", self.listen)?;
         writeln!(f, "discovery: {}", self.discovery)?;
-        let PeerId(me) = self.settings.me;
-        writeln!(f, "scheduler {me} of {}, {} peers", self.settings.dispatchers, self.peers.len())?;
-        writeln!(f, "classes: {}", self.names.classes.join(", "))?;
-        writeln!(f, "tenants: {}", self.names.tenants.join(", "))?;
+        let Epoch { settings, names, .. } = &*self.epoch;
+        let PeerId(me) = settings.me;
+        writeln!(f, "scheduler {me} of {}, {} peers", settings.dispatchers, self.peers.len())?;
+        writeln!(f, "classes: {}", names.classes.join(", "))?;
+        writeln!(f, "tenants: {}", names.tenants.join(", "))?;
         if let Some(control) = self.control {
             writeln!(f, "control: {control}")?;
         }
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -153,6 +153,20 @@
     route::feed(s, Event::Workers { kind: ListKind::Partial, entries: vec![entry] });
 }
 
+/// Zones and kinds may have other numbers since the settings have changed: the module is told of all targets anew.
+pub fn renamed(s: &Rc<Scheduler>) {
+    let epoch = s.epoch();
+    let mut targets = s.group.targets.borrow_mut();
+    let listed = targets.values_mut().filter(|t| t.word.state != WorkerState::Gone);
+    let entries = listed.map(|target| {
+        target.word = epoch.names.worker(&target.said.site, &target.said.class, target.word.clone());
+        effective(&s.orders.borrow(), target)
+    });
+    let entries = entries.collect();
+    drop(targets);
+    route::feed(s, Event::Workers { kind: ListKind::Partial, entries });
+}
+
 /// Takes in a list and tells the module of it.
 fn take(s: &Rc<Scheduler>, list: List, kind: ListKind) {
     let now = s.clock.now();
@@ -197,12 +211,12 @@
         }
         let worker =
             Worker { cell: CellId(host.block), state, weight: host.share, started, ..Worker::new(id) };
-        let word = s.config.names.worker(&host.site, &host.class, worker);
+        let word = s.epoch().names.worker(&host.site, &host.class, worker);
         let target = Target { host: host.host.as_str().into(), dial, leaving, word, said: Rc::new(host) };
         entries.push(effective(&s.orders.borrow(), &target));
         targets.insert(id, target);
     }
-    s.orders.borrow_mut().age(now, s.config.settings.rules.cold.saturating_add(REMEMBER));
+    s.orders.borrow_mut().age(now, s.epoch().settings.rules.cold.saturating_add(REMEMBER));
     targets.retain(|_, t| t.leaving.is_none_or(|at| now < at + REMEMBER));
     drop(targets);
     route::feed(s, Event::Workers { kind, entries });
@@ -227,7 +241,7 @@
 /// start, the service of the list would fail them all.
 pub async fn follow(s: Rc<Scheduler>) {
     loop {
-        if s.config.settings.ask_for_list {
+        if s.epoch().settings.ask_for_list {
             tokio::select! {
                 () = s.group.asked.notified() => {}
                 () = s.group.moved.notified() => s.group.seq.set(None),
@@ -247,7 +261,7 @@
         };
         s.book.borrow_mut().counters.list_faults += 1;
         tracing::warn!("discovery: {fault}; the last list stays");
-        if s.config.settings.ask_for_list {
+        if s.epoch().settings.ask_for_list {
             route::feed(&s, Event::ListFailed);
         }
         tokio::time::sleep(RETRY).await;
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -383,7 +383,8 @@
 
 /// Reads a job out of a request.
 fn offer(s: &Scheduler, message: &Message, path: &str) -> Result<Offer, Reply> {
-    let classes = &s.config.names.classes;
+    let epoch = s.epoch();
+    let classes = &epoch.names.classes;
     let mut segments = path.split('/').filter(|p| !p.is_empty());
     let first = segments.next().unwrap_or_default();
     let class = match message.text("X-Service-Class") {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,10 +10,12 @@
 
 pub mod admit;
 pub mod book;
+pub mod changes;
 pub mod clock;
 pub mod config;
 pub mod control;
 pub mod discovery;
+pub mod epoch;
 pub mod http;
 pub mod intake;
 pub mod peers;
@@ -41,6 +43,8 @@
 pub struct Scheduler {
     /// What the program was told.
     pub config: Config,
+    /// The settings in force.
+    epoch: RefCell<Rc<epoch::Epoch>>,
     /// The one clock.
     pub clock: clock::Clock,
     /// Flows and counters.
@@ -67,6 +71,13 @@
     pub shares: shares::Shares,
 }
 
+impl Scheduler {
+    /// The settings in force.
+    pub fn epoch(&self) -> Rc<epoch::Epoch> {
+        Rc::clone(&self.epoch.borrow())
+    }
+}
+
 /// Runs the scheduler until it is told to end.
 pub fn serve(config: Config, quotas: shares::Quotas) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -90,22 +101,22 @@
     let socket = before.as_mut().and_then(upgrade::Before::peers);
     let peers = peers::Peers::open(&config, socket).await.map_err(|e| named("peer_listen", e))?;
     let clock = clock::Clock::default();
-    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let epoch = Rc::clone(&config.epoch);
     // Off on the platform: without quotas at the start nothing more is said among schedulers.
     let quotas_on = quotas.spec.is_some();
-    let aims: Vec<loomlb_decide::Nanos> = config.settings.classes.iter().map(|c| c.aim).collect();
-    let shares = shares::Shares::new(quotas, &aims, config.settings.dispatchers, clock.now());
+    let shares = shares::Shares::new(quotas, &epoch.aims(), epoch.settings.dispatchers, clock.now());
     let s = Rc::new(Scheduler {
         shares: shares.map_err(io::Error::other)?,
-        router: route::Router::new(Dispatcher::new(config.settings.clone(), config.seed)),
+        router: route::Router::new(Dispatcher::new(epoch.settings.clone(), config.seed)),
         wheel: wheel::Wheel::new(clock.now()),
-        pool: send::Pool::new(config.outbound, config.terms.keepalive),
+        pool: send::Pool::new(config.outbound, epoch.terms.keepalive),
         listener: intake::Listener::new(config.inbound),
         book: RefCell::default(),
         group: discovery::Group::default(),
         orders: RefCell::default(),
-        shutdown: shutdown::Shutdown::new(longest),
+        shutdown: shutdown::Shutdown::new(epoch.longest()),
         upgrade: upgrade::Upgrade::new(&config, before.is_some()),
+        epoch: RefCell::new(epoch),
         clock,
         peers,
         config,
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -31,7 +31,7 @@
     /// Opens the socket if the configuration names one and the site allows messages, or takes over the one that came
     /// from the process before. Where one runs beside us that has it still, it is opened later.
     pub async fn open(config: &Config, taken_over: Option<OwnedFd>) -> io::Result<Peers> {
-        let Some(at) = config.peer_listen.filter(|_| config.settings.limits.peers) else {
+        let Some(at) = config.peer_listen.filter(|_| config.epoch.settings.limits.peers) else {
             return Ok(Peers::default());
         };
         let socket = match taken_over {
@@ -61,7 +61,7 @@
         // Of two processes the one that accepts speaks for both: peers know the scheduler, not its processes.
         let speaks = bytes.len() <= MAX && s.upgrade.accepts();
         let Some(socket) = self.socket.get().filter(|_| speaks) else { return };
-        let (all, me) = (&s.config.peers, s.config.settings.me.0 as usize);
+        let (all, me) = (&s.config.peers, s.epoch().settings.me.0 as usize);
         let others = || all.iter().enumerate().filter(|p| p.0 != me).map(|p| *p.1);
         let receivers: Vec<SocketAddr> = match to {
             Receiver::One(peer) if peer.0 as usize == me => Vec::new(),
@@ -110,7 +110,7 @@
             tokio::task::yield_now().await;
             continue;
         };
-        let me = s.config.settings.me.0 as usize;
+        let me = s.epoch().settings.me.0 as usize;
         let peer = s.config.peers.iter().position(|p| *p == from).filter(|p| *p != me && length <= MAX);
         if let Some(peer) = peer {
             s.book.borrow_mut().counters.peers_in += 1;
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -1,6 +1,8 @@
-//! Reload: SIGHUP has the configuration read again, and discovery followed at the address that it now names.
+//! Reload: SIGHUP has the configuration read again: its settings are put in force, and discovery is followed where it now
+//! says.
 
-use super::Scheduler;
+use super::{Scheduler, discovery, route};
+use loomlb_decide::{Event, Start};
 use std::io;
 use std::rc::Rc;
 use tokio::signal::unix::{SignalKind, signal};
@@ -17,18 +19,8 @@
                 s.book.borrow_mut().counters.reload_faults += 1;
                 tracing::error!("operator file: {e}; the old one stays");
             }
-            match s.config.reload() {
-                Ok(fresh) => {
-                    s.book.borrow_mut().counters.reloads += 1;
-                    tracing::info!("configuration reloaded: discovery: {}", fresh.discovery);
-                    if !fresh.postponed.is_empty() {
-                        tracing::warn!(
-                            "configuration: {}: changed, read at the next start",
-                            fresh.postponed.join(", ")
-                        );
-                    }
-                    s.group.follow_at(fresh.discovery);
-                }
+            match take(&s) {
+                Ok(()) => s.book.borrow_mut().counters.reloads += 1,
                 Err(e) => {
                     s.book.borrow_mut().counters.reload_faults += 1;
                     tracing::error!("configuration: {e}; the old one stays");
@@ -38,3 +30,29 @@
     });
     Ok(())
 }
+
+/// Reads the file, and puts all of it in force or nothing.
+fn take(s: &Rc<Scheduler>) -> Result<(), String> {
+    let fresh = s.config.reload()?;
+    let book = s.book.borrow();
+    let (next, starts) = s.epoch().next((*fresh.epoch).clone(), |class| book.has_class(class.0))?;
+    drop(book);
+    let changed = starts.iter().filter(|start| **start != Start::Kept).count();
+    tracing::info!(
+        "configuration reloaded: discovery: {}; {changed} classes changed or new",
+        fresh.discovery
+    );
+    if !fresh.postponed.is_empty() {
+        tracing::warn!("configuration: {}: changed, read at the next start", fresh.postponed.join(", "));
+    }
+    s.pool.keepalive(next.terms.keepalive);
+    s.shutdown.turn(|service| service.patience(next.longest()));
+    s.shares.classes(&next.aims());
+    let settings = Box::new(next.settings.clone());
+    *s.epoch.borrow_mut() = Rc::new(next);
+    route::feed(s, Event::Settings(settings, starts));
+    discovery::renamed(s);
+    s.group.follow_at(fresh.discovery);
+    s.config.took(fresh);
+    Ok(())
+}
--- a/crates/scheduler/src/route.rs
+++ b/crates/scheduler/src/route.rs
@@ -60,7 +60,7 @@
     match action {
         Action::Send { id, worker, timeout } => send::forward(s, id, worker, timeout),
         Action::Refuse { id, retry_after } => {
-            let wait = retry_after.min(s.config.settings.limits.max_retry_after);
+            let wait = retry_after.min(s.epoch().settings.limits.max_retry_after);
             relay::answer(s, id, Answer::Refused(wait));
         }
         Action::Fail(id) => {
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -50,7 +50,7 @@
     limit: usize,
     /// Idle connections live this long: well below the time after which a target closes them, since a
     /// request that crosses such an end counts as one that may have run.
-    keep: Nanos,
+    keep: Cell<Nanos>,
     /// The same for targets whose connections have proved to end sooner than they ought to, and when they
     /// did.
     shorter: RefCell<HashMap<WorkerId, (Nanos, Nanos)>>,
@@ -60,7 +60,7 @@
     /// An empty pool of so many connections at most, for targets that close idle ones after `keepalive`.
     pub fn new(limit: usize, keepalive: Nanos) -> Self {
         let (idle, open, shorter) = (RefCell::default(), Rc::default(), RefCell::default());
-        Pool { idle, open, limit, keep: keepalive / 4 * 3, shorter }
+        Pool { idle, open, limit, keep: Cell::new(keepalive / 4 * 3), shorter }
     }
 
     /// A connection to the target broke at its next use: something on the way had dropped it while it was
@@ -73,7 +73,12 @@
     /// How long idle connections to a target live. What was learned is tried anew after a while.
     fn keep(&self, target: WorkerId, now: Nanos) -> Nanos {
         let learned = self.shorter.borrow().get(&target).filter(|l| now < l.1 + RELEARN).map(|l| l.0);
-        learned.unwrap_or(self.keep)
+        learned.unwrap_or(self.keep.get())
+    }
+
+    /// Targets close idle connections after this time from now on.
+    pub fn keepalive(&self, keepalive: Nanos) {
+        self.keep.set(keepalive / 4 * 3);
     }
 
     /// Connections to targets, idle ones included.
@@ -152,7 +157,7 @@
     s.book.borrow_mut().counters.dials += 1;
     s.pool.open.set(s.pool.open.get() + 1);
     let open = Rc::clone(&s.pool.open);
-    let limit = Duration::from_nanos(s.config.terms.dial_timeout);
+    let limit = Duration::from_nanos(s.epoch().terms.dial_timeout);
     match tokio::time::timeout(limit, TcpStream::connect(target.dial)).await {
         Ok(Ok(stream)) => Some(Link { wire: Wire::new(stream), open, idle: 0 }),
         _ => {
@@ -171,9 +176,9 @@
         return tracing::error!("the module sends a flow that is over");
     };
     let n = flow.forwards.len() as u32;
-    let over = flow.reply.is_none() || n >= s.config.settings.limits.max_attempts.max(1);
+    let over = flow.reply.is_none() || n >= flow.most;
     // A later forward must not overtake the news that an earlier one is given up.
-    let one_at_a_time = !s.config.settings.limits.second_copies;
+    let one_at_a_time = !s.epoch().settings.limits.second_copies;
     let earlier = flow.forwards.iter().filter(|f| one_at_a_time || f.target == to);
     let undoing: Vec<Rc<Notify>> = earlier.filter_map(|f| f.undoing.clone()).collect();
     let work = Rc::clone(&flow.work);
@@ -260,7 +265,7 @@
     fn may_write(&self) -> bool {
         let s = &self.s;
         let open = s.book.borrow_mut().flow(self.id).is_some_and(|f| f.reply.is_some());
-        let grace = s.config.terms.drain_grace / 2;
+        let grace = s.epoch().terms.drain_grace / 2;
         let in_time = |t: &Target| t.leaving.is_none_or(|at| s.clock.now() < at + grace);
         open && s.group.target(self.to).is_some_and(|t| in_time(&t) && !s.orders.borrow().is_out(&t.host))
     }
@@ -312,7 +317,7 @@
     let mut report = Report::default();
     for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
         if let Ok(value) = value.trim().parse() {
-            s.config.terms.report(&mut report, name.trim(), value);
+            s.epoch().terms.report(&mut report, name.trim(), value);
         }
     }
     report
@@ -392,7 +397,7 @@
     s.book.borrow_mut().counters.probes += 1;
     let (s, sent) = (Rc::clone(s), s.clock.now());
     tokio::task::spawn_local(async move {
-        let path = if s.config.settings.reports == Reports::None { "/healthz" } else { "/load" };
+        let path = if s.epoch().settings.reports == Reports::None { "/healthz" } else { "/load" };
         let (outcome, report) = match call(&s, to, "GET", path).await {
             Ok(answer) => {
                 let outcome = if answer.status == 200 { Outcome::Served } else { Outcome::Error };
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -14,6 +14,11 @@
 /// Rows of the table of loans that are logged.
 const ROWS: usize = 20;
 
+/// What a class's jobs are taken to need, in seconds, before one has ended.
+fn first_mean(aim: &Nanos) -> f64 {
+    (*aim as f64 / 1e9).max(0.001)
+}
+
 /// The quotas of the operator file, and how to read them again.
 pub struct Quotas {
     /// The tree; none where there are no quotas.
@@ -68,7 +73,7 @@
         let schedulers = schedulers.max(1);
         let quota = quotas.spec.map(|spec| Quota::new(spec.part(1.0 / f64::from(schedulers)), now));
         let quota = quota.transpose().map_err(|e| format!("quota: {e}"))?;
-        let mean = aims.iter().map(|aim| (*aim as f64 / 1e9).max(0.001)).collect();
+        let mean = aims.iter().map(first_mean).collect();
         Ok(Shares {
             quota: RefCell::new(quota),
             mean: RefCell::new(mean),
@@ -78,6 +83,13 @@
         })
     }
 
+    /// The classes' aims have changed: a class behind those known starts from its own.
+    pub fn classes(&self, aims: &[Nanos]) {
+        let mut mean = self.mean.borrow_mut();
+        let known = mean.len();
+        mean.extend(aims.iter().skip(known).map(first_mean));
+    }
+
     /// Asks for a flow.
     pub fn ask(&self, now: Nanos, tenant: &str, class: usize, slots: f64, retry: bool, spread: u64) -> Share {
         let mut quota = self.quota.borrow_mut();
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -233,7 +233,7 @@
         s.group.follow_at(address);
     }
     discovery::start(s, Some(list));
-    s.router.restore(carried.arranged(&Names { classes, tenants, zones, kinds }, &s.config.names));
+    s.router.restore(carried.arranged(&Names { classes, tenants, zones, kinds }, &s.epoch().names));
     let partner = Partner::new(link, false);
     let mut new = s.upgrade.new.get();
     if new.restored() {
@@ -329,7 +329,8 @@
 }
 
 fn snapshot(s: &Scheduler) -> Snapshot {
-    let names = &s.config.names;
+    let epoch = s.epoch();
+    let names = &epoch.names;
     Snapshot {
         classes: names.classes.clone(),
         tenants: names.tenants.clone(),
@@ -453,7 +454,7 @@
 
 /// The module takes what the other process holds for the word of a peer: this scheduler's own number, which no peer has.
 fn tell_module(s: &Rc<Scheduler>, partner: &Partner, holds: Holds) {
-    let me = s.config.settings.me;
+    let me = s.epoch().settings.me;
     let before = partner.holds.replace(holds);
     let now = partner.holds.borrow().clone();
     let gone = before.slots.iter().filter(|b| !now.slots.iter().any(|n| n.0 == b.0));
@@ -470,7 +471,7 @@
 fn forget(s: &Rc<Scheduler>) {
     route::feed(
         s,
-        Event::Peer(s.config.settings.me, Message::Hello(ZoneId(s.config.settings.zone.0)).bytes()),
+        Event::Peer(s.epoch().settings.me, Message::Hello(ZoneId(s.epoch().settings.zone.0)).bytes()),
     );
 }
 
@@ -491,7 +492,9 @@
     }
     let mut said = Some(false);
     for (n, partner, asked) in answers {
+        // The answer first: a partner may take its leave right behind it.
         let answer = tokio::select! {
+            biased;
             answer = tokio::time::timeout(ANSWER, asked) => answer.ok().and_then(Result::ok),
             () = partner.link.ended() => Some(false),
         };
