Stories of settings that change, and tests of what a module carries over

Need: reloads with open flows and a module's carried knowledge had no test of their own. The stories fail when epochs, the check of the file, or restore are taken away. Faults of a file that cannot be parsed at all name the file, not a dot.

--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -892,3 +892,103 @@
         assert!(n < 10 || again >= 120, "{again} of 200 subjects met at one of {n} workers");
     }
 }
+
+// ---- what is carried over
+
+/// What a dispatcher has learned goes to the one that takes its place, by the workers' ids and the classes' names, and so
+/// does the cold budget: it is spent once.
+#[test]
+fn what_was_learned_is_carried_over_and_a_cold_budget_is_not_spent_twice() {
+    let mut set = settings(Effect::Safe);
+    set.rules.fall_multiple = 1.0;
+    let cold = |id: u64| Worker { started: S, ..Worker::new(WorkerId(id)) };
+    let mut old = Stage::new(set.clone(), &workers(2));
+    // The first worker fails whatever it gets.
+    for _ in 0..40 {
+        old.now += 20 * MS;
+        let (id, actions) = old.request(4 * S);
+        let outcome = if sent(&actions) == [WorkerId(1)] { Outcome::Error } else { Outcome::Served };
+        let again = old.ends(id, 0, outcome);
+        if !sent(&again).is_empty() {
+            old.ends(id, 1, Outcome::Served);
+        }
+    }
+    let names = |classes: &[&str]| boot::Names {
+        classes: classes.iter().map(|c| c.to_string()).collect(),
+        zones: vec!["z".into(), "y".into()],
+        kinds: vec!["k".into()],
+        ..boot::Names::default()
+    };
+    // As the link has it: in a text, and under settings with another class before.
+    let text = serde_json::to_string(&old.dispatcher.carried()).unwrap();
+    let carried: Carried = serde_json::from_str(&text).unwrap();
+    let carried = carried.arranged(&names(&["view"]), &names(&["other", "view"]));
+    set.classes.insert(0, set.classes[0].clone());
+    let first_picks = |carried: Option<Carried>| {
+        let mut new = Stage::new(set.clone(), &workers(2));
+        new.now = old.now;
+        carried.into_iter().for_each(|carried| new.dispatcher.restore(carried));
+        let picks = (0..20).filter(|_| {
+            new.next += 1;
+            let id = RequestId(new.next);
+            let actions = new.event(Event::Request(Request::new(id, ClassId(1), 4 * S)));
+            new.ends(id, 0, Outcome::Served);
+            sent(&actions) == [WorkerId(1)]
+        });
+        picks.count()
+    };
+    let (known, unknown) = (first_picks(Some(carried)), first_picks(None));
+    assert!(
+        known <= 3 && unknown >= 5,
+        "to the failing worker: {known} after the other's word, {unknown} without"
+    );
+
+    // Short jobs, as a cold worker gets few long ones.
+    set.classes[0].aim = 20 * MS;
+    let mut old = Stage::new(set.clone(), &[cold(7)]);
+    let spends = |stage: &mut Stage| (0..50).filter(|_| !sent(&stage.request(4 * S).1).is_empty()).count();
+    old.now += 2 * S;
+    let first = spends(&mut old);
+    let mut new = Stage::new(set.clone(), &[cold(7)]);
+    new.now = old.now;
+    new.dispatcher.restore(old.dispatcher.carried());
+    let more = spends(&mut new);
+    assert!(first > 0 && more == 0, "{first} jobs to a cold worker, and {more} more after the handover");
+}
+
+#[test]
+fn new_settings_keep_what_was_learned_and_open_requests_keep_their_class() {
+    let mut stage = Stage::new(settings(Effect::Safe), &workers(2));
+    for _ in 0..40 {
+        stage.now += 20 * MS;
+        let (id, actions) = stage.request(4 * S);
+        let outcome = if sent(&actions) == [WorkerId(1)] { Outcome::Error } else { Outcome::Served };
+        if !sent(&stage.ends(id, 0, outcome)).is_empty() {
+            stage.ends(id, 1, Outcome::Served);
+        }
+    }
+    let (open, actions) = stage.request(4 * S);
+    let at = sent(&actions)[0];
+    // The class has changed while a request of it is open: it goes on by its old rules under its old number.
+    let mut next = settings(Effect::Safe);
+    next.classes.push(Class { effect: Effect::Unsafe, ..next.classes[0].clone() });
+    next.limits.max_attempts = 1;
+    stage.event(Event::Settings(Box::new(next.clone()), vec![Start::Kept, Start::From(ClassId(0))]));
+    assert_ne!(sent(&stage.ends(open, 0, Outcome::Reset)), [at], "a safe request is sent again, elsewhere");
+    assert!(!answers(&stage.ends(open, 1, Outcome::Served)).iter().any(|a| matches!(a, Action::Fail(_))));
+    stage.now += 30 * S;
+    let mut failing = 0;
+    for _ in 0..20 {
+        stage.next += 1;
+        let id = RequestId(stage.next);
+        let actions = stage.event(Event::Request(Request::new(id, ClassId(1), 4 * S)));
+        failing += usize::from(sent(&actions) == [WorkerId(1)]);
+        stage.ends(id, 0, Outcome::Served);
+    }
+    assert!(failing <= 6, "{failing} of 20 to the worker that the class before had learned to avoid");
+    // By the new rules what may have run is over.
+    stage.next += 1;
+    let id = RequestId(stage.next);
+    stage.event(Event::Request(Request::new(id, ClassId(1), 4 * S)));
+    assert_eq!(answers(&stage.ends(id, 0, Outcome::Reset)), [&Action::Fail(id)]);
+}
--- a/crates/handover/src/link.rs
+++ b/crates/handover/src/link.rs
@@ -140,7 +140,7 @@
     /// dropped half-way.
     pub async fn hear(&self, inbox: &mut Inbox) -> io::Result<(Word, Option<OwnedFd>)> {
         loop {
-            if let Some((word, with)) = inbox.frames.next().map_err(faulty)? {
+            if let Some((word, with)) = inbox.frames.take().map_err(faulty)? {
                 let descriptor = if with { inbox.descriptors.pop_front() } else { None };
                 if with && descriptor.is_none() {
                     return Err(io::Error::new(io::ErrorKind::InvalidData, "a descriptor is missing"));
--- a/crates/handover/src/words.rs
+++ b/crates/handover/src/words.rs
@@ -107,7 +107,7 @@
     }
 
     /// The next word, and whether a descriptor comes with it; none until it is whole.
-    pub fn next(&mut self) -> Result<Option<(Word, bool)>, Fault> {
+    pub fn take(&mut self) -> Result<Option<(Word, bool)>, Fault> {
         let Some(&[a, b, c, d, mark]) = self.buf.first_chunk::<HEAD>() else { return Ok(None) };
         let length = u32::from_le_bytes([a, b, c, d]) as usize;
         if length > MOST {
@@ -136,7 +136,7 @@
             let (mut frames, mut came) = (Frames::default(), Vec::new());
             for piece in bytes.chunks(size) {
                 frames.put(piece);
-                while let Some(word) = frames.next().unwrap() {
+                while let Some(word) = frames.take().unwrap() {
                     came.push(word);
                 }
             }
@@ -144,9 +144,9 @@
         }
         let mut frames = Frames::default();
         frames.put(&[0xff; 5]);
-        assert_eq!(frames.next(), Err(Fault::TooLong));
+        assert_eq!(frames.take(), Err(Fault::TooLong));
         let mut frames = Frames::default();
         frames.put(b"\x06\0\0\0\0\"Wave\"");
-        assert!(matches!(frames.next(), Err(Fault::Unknown(_))));
+        assert!(matches!(frames.take(), Err(Fault::Unknown(_))));
     }
 }
--- a/crates/scheduler/src/changes.rs
+++ b/crates/scheduler/src/changes.rs
@@ -56,7 +56,7 @@
     let mut names = Vec::new();
     for (i, class) in fresh.iter().enumerate() {
         let key = |key: &str| format!("settings.classes[{i}].{key}");
-        for lacking in needed.iter().filter(|k| class.get(k).is_none_or(Value::is_null)) {
+        if let Some(lacking) = needed.iter().find(|k| class.get(k).is_none_or(Value::is_null)) {
             return Err(format!("{}: missing", key(lacking)));
         }
         if let Some(value) = class.get("give_up") {
@@ -103,7 +103,7 @@
     fn whatever_lacks_a_key_or_has_a_false_figure_is_turned_down_by_name() {
         for (old, new) in [
             ("\"known\":{\"seq\":1},", ""),
-            ("4", "1"),
+            ("\"max_attempts\":4", "\"max_attempts\":1"),
             (r#""group":"cell","#, ""),
             ("\"aim_stretch\":1.5", "\"more\":1"),
             ("}]}}", "},{\"name\":\"new\",\"give_up\":1,\"aim\":1,\"effect\":\"at_most_once\"}]}}"),
@@ -116,10 +116,10 @@
             ("{\"sockets\":64,\"memory_mb\":32}", "7"),
             ("\"tick\":2", "\"tick\":null"),
             ("\"max_attempts\":4,", ""),
-            ("4", "0"),
-            ("4", "-1"),
-            ("4", "\"4\""),
-            ("4", "1e9"),
+            ("\"max_attempts\":4", "\"max_attempts\":0"),
+            ("\"max_attempts\":4", "\"max_attempts\":-1"),
+            ("\"max_attempts\":4", "\"max_attempts\":\"4\""),
+            ("\"max_attempts\":4", "\"max_attempts\":1e9"),
             ("\"give_up\":5000,\"aim\":1,", "\"aim\":1,"),
             ("5000", "0"),
             ("5000", "-5000"),
@@ -132,6 +132,26 @@
             ("\"classes\":[", "\"other\":["),
         ];
         let all: Vec<String> = faults.iter().map(|(old, new)| said(old, new)).collect();
-        insta::assert_snapshot!(all.join("\n"), @"");
+        insta::assert_snapshot!(all.join("\n"), @r#"
+        listen: missing
+        limits.sockets: missing
+        limits: 7 is no object
+        settings.tick: null
+        settings.ceilings.max_attempts: missing
+        settings.ceilings.max_attempts: 0 is no number above 0, and up to 1000
+        settings.ceilings.max_attempts: -1 is no number above 0, and up to 1000
+        settings.ceilings.max_attempts: "4" is no number above 0, and up to 1000
+        settings.ceilings.max_attempts: 1000000000.0 is no number above 0, and up to 1000
+        settings.classes[0].give_up: missing
+        settings.classes[0].give_up: 0 is no number above 0, and up to 86400000000000
+        settings.classes[0].give_up: -5000 is no number above 0, and up to 86400000000000
+        settings.classes[0].give_up: "NaN" is no number above 0, and up to 86400000000000
+        settings.classes[0].give_up: missing
+        settings.classes[0].give_up: 1e+300 is no number above 0, and up to 86400000000000
+        settings.classes[0].aim: missing
+        settings.classes[1].name: "view" stands there twice
+        settings.classes[1].name: "" is no name
+        settings.classes: missing
+        "#);
     }
 }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -159,7 +159,10 @@
     fn read(file: &Path) -> Result<(Raw, Keys), String> {
         let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
         let raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text));
-        let raw = raw.map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        let raw = raw.map_err(|e| match e.path().to_string().as_str() {
+            "." => format!("the file: {}", e.inner()),
+            path => format!("{path}: {}", e.inner()),
+        })?;
         let keys = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", file.display()))?;
         Ok((raw, keys))
     }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -3,7 +3,7 @@
 mod stage;
 
 use insta::assert_snapshot;
-use stage::{Line, Server, Stage, job, list, response};
+use stage::{Comers, Line, Server, Stage, job, list, response};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -172,3 +172,79 @@
     finish(&stage, &target, &mut held, "a5");
     assert!(again.answer().ends_with("a5"));
 }
+
+#[test]
+fn open_flows_keep_the_rules_they_were_taken_under_when_the_settings_change() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let mut stage = Stage::operated(&[&one, &two], &discovery);
+    // Each forward comes on a connection of its own, to whichever target.
+    let comers = Comers::new(&[&one, &two]);
+    let accept = |id: &str| {
+        let (name, mut line) = comers.next();
+        assert!(line.hear().contains(id));
+        line.say("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        name
+    };
+    let taken = |stage: &Stage, id: &str, class: &str| {
+        let mut client = stage.connect();
+        client.say(&job(class, id, "4.500"));
+        (client, accept(id))
+    };
+    let ends = |stage: &Stage, target: &str, id: &str, state: &str| {
+        stage.call_back(&format!(r#"{{"id":"{id}","from":"{target}","state":"{state}","result":"{id}"}}"#));
+    };
+    let (mut safe, at) = taken(&stage, "a1", "view");
+    let (mut once, elsewhere) = taken(&stage, "a2", "lodge");
+    // Safe jobs become such as may run once, with one attempt for all; the other class goes, a new one comes.
+    let view = r#"{"name":"view","aim":900000000,"give_up":5000000000,"worth":1.0,"effect":"idempotent"}"#;
+    let changed = view.replace("idempotent", "at_most_once");
+    stage.reload(view, &changed);
+    stage.logged("configuration reloaded");
+    stage.reload(r#""name":"lodge""#, r#""name":"sign""#);
+    stage.logged("configuration reloaded");
+    stage.reload(r#""max_attempts":2"#, r#""max_attempts":1"#);
+    assert!(stage.logged("configuration reloaded").contains("0 classes"));
+    // By the old rules a failed safe job goes to the other target, though attempts are fewer now.
+    ends(&stage, &at, "a1", "failed");
+    ends(&stage, &accept("a1"), "a1", "done");
+    assert!(safe.answer().ends_with("a1"));
+    // The dropped class is unknown to new requests, and its open job has its answer.
+    assert!(stage.ask(&job("lodge", "a3", "3.000")).ends_with("unknown class"));
+    ends(&stage, &elsewhere, "a2", "done");
+    assert!(once.answer().ends_with("a2"));
+    // By the new rules a failed job of the changed class, which may have run, is over.
+    let (mut now, there) = taken(&stage, "b1", "view");
+    ends(&stage, &there, "b1", "failed");
+    assert!(now.answer().starts_with("HTTP/1.1 502"));
+    // What cannot be worked with changes nothing, whole.
+    let config = stage.config().to_string();
+    let faults = [
+        String::new(),
+        config[..config.len() / 2].to_string(),
+        config.replacen(r#""give_up":5000000000,"#, "", 1).replacen(
+            r#""name":"sign""#,
+            r#""name":"other""#,
+            1,
+        ),
+        config.replacen("5000000000", "0", 1),
+        config.replacen(r#""max_attempts":1"#, r#""max_attempts":0"#, 1),
+    ];
+    let said: Vec<String> = faults
+        .iter()
+        .map(|text| {
+            stage.reload_as(text);
+            let said = stage.logged("configuration: ");
+            said.split(" at line").next().unwrap().to_string()
+        })
+        .collect();
+    assert_snapshot!(said.join("\n"), @"
+    the file: EOF while parsing a value
+    settings: EOF while parsing an object
+    settings.classes[0].give_up: missing; the old one stays
+    settings.classes[0].give_up: 0 is no number above 0, and up to 86400000000000; the old one stays
+    settings.ceilings.max_attempts: 0 is no number above 0, and up to 1000; the old one stays
+    ");
+    assert!(stage.ask(&job("other", "c1", "3.000")).starts_with("HTTP/1.1 4"));
+    taken(&stage, "c2", "sign");
+    assert_snapshot!(stage.counters(&["reloads", "reload_faults", "panics"]), @"reloads=3 reload_faults=5 panics=0");
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -85,14 +85,31 @@
     }
 }
 
+/// The connections that come to any of these servers from now on, with the servers' names.
+pub struct Comers(Receiver<(String, TcpStream)>);
+
+impl Comers {
+    pub fn new(servers: &[&Server]) -> Comers {
+        let (tell, came) = channel();
+        for server in servers {
+            let (tell, listener) = (tell.clone(), server.listener.try_clone().unwrap());
+            let name = server.name.clone();
+            std::thread::spawn(move || {
+                let mut all = listener.incoming().map_while(Result::ok);
+                all.all(|stream| tell.send((name.clone(), stream)).is_ok())
+            });
+        }
+        Comers(came)
+    }
+    pub fn next(&self) -> (String, Line) {
+        let (name, stream) = self.0.recv_timeout(LONG).unwrap();
+        (name, Line::new(stream))
+    }
+}
+
 /// The first connection that comes to any of these servers.
 pub fn first(servers: &[&Server]) -> Line {
-    let (tell, came) = channel();
-    for server in servers {
-        let (tell, listener) = (tell.clone(), server.listener.try_clone().unwrap());
-        std::thread::spawn(move || listener.accept().map(|(stream, _)| tell.send(stream)));
-    }
-    Line::new(came.recv_timeout(LONG).unwrap())
+    Comers::new(servers).next().1
 }
 
 /// A list in discovery's form.
@@ -190,8 +207,17 @@
     }
     /// Changes words of its configuration and has it read again.
     pub fn reload(&mut self, old: &str, new: &str) {
+        assert!(self.config.contains(old), "{old}");
         self.config = self.config.replacen(old, new, 1);
-        std::fs::write(self.files.path().join("config.json"), &self.config).unwrap();
+        self.reload_as(&self.config);
+    }
+    /// Its configuration, as it was last written.
+    pub fn config(&self) -> &str {
+        &self.config
+    }
+    /// Has another text read in place of its configuration.
+    pub fn reload_as(&self, text: &str) {
+        std::fs::write(self.files.path().join("config.json"), text).unwrap();
         self.signal("HUP");
     }
     /// What follows these words in the log.
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -110,7 +110,7 @@
             let (mut frames, mut piece) = (Frames::default(), [0; 256]);
             let n = stream.read(&mut piece).unwrap();
             frames.put(&piece[..n]);
-            assert_eq!(frames.next(), Ok(Some((Word::Hello { version: VERSION }, false))));
+            assert_eq!(frames.take(), Ok(Some((Word::Hello { version: VERSION }, false))));
             stream.write_all(&say).unwrap();
             // Silent until the other side has had enough.
             let _ = if stays { stream.read(&mut piece) } else { Ok(0) };
