Part with idle connections beyond a quarter of the descriptors

Counted twice a second: in the trouble every client asks on a new connection and keeps the old ones idle. Their number (idle with a job, and waiting) stands at 120 to 128 of 384 descriptors whenever requests go missing, a third, and never higher: whatever stands before the listener carries no more, and turns further clients away.

At fault: intake.rs parted with idle connections only when all places were taken. Now beyond limits.sockets / 4; those that wait for an answer, or have just come, are never touched.

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -36,6 +36,8 @@
     pub seed: u64,
     /// Connections that may be open to the listener.
     pub inbound: usize,
+    /// Beyond so many connections at the listener, idle ones are closed.
+    pub ample: usize,
     /// Connections that may be open to targets.
     pub outbound: usize,
     /// Bytes that the bodies of open flows may take together.
@@ -201,6 +203,7 @@
             control,
             seed,
             inbound: usable - outbound,
+            ample: (usable - outbound).min(self.limits.sockets / 4),
             outbound,
             body_bytes: (self.limits.memory_mb << 20) / 4,
             peer_listen: optional("peer_listen", self.peer_listen)?,
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -59,15 +59,17 @@
 #[derive(Debug)]
 pub struct Listener {
     limit: usize,
+    /// Beyond so many, idle ones make room.
+    ample: usize,
     seats: RefCell<HashMap<u64, Occupied>>,
     next: Cell<u64>,
     left: Notify,
 }
 
 impl Listener {
-    /// A listener with room for so many connections.
-    pub fn new(limit: usize) -> Self {
-        Listener { limit, seats: RefCell::default(), next: Cell::new(0), left: Notify::new() }
+    /// A listener with room for `limit` connections, that parts with idle ones beyond `ample`.
+    pub fn new(limit: usize, ample: usize) -> Self {
+        Listener { limit, ample, seats: RefCell::default(), next: Cell::new(0), left: Notify::new() }
     }
 
     /// Connections.
@@ -86,15 +88,32 @@
     /// that say nothing, half of something, or nothing more.
     fn evict(&self, now: Nanos) {
         let seats = self.seats.borrow();
-        let rank = |seat: &&Occupied| match seat.state {
+        let ranked = seats.values().filter_map(|seat| Some((seat.rank(now)?, seat)));
+        if let Some((_, seat)) = ranked.min_by_key(|(rank, _)| *rank) {
+            seat.close.notify_one();
+        }
+    }
+
+    /// Has idle connections make room long before all places are taken. Whatever stands before the listener carries a
+    /// limited number of connections to it, and clients whose requests come beyond that are turned away there, where
+    /// nobody here hears of them.
+    fn thin(&self, now: Nanos, elsewhere: usize) {
+        let spare = || self.seats.borrow().values().any(|s| s.rank(now).is_some_and(|r| r.0 < 2));
+        if self.taken() + elsewhere > self.ample && spare() {
+            self.evict(now);
+        }
+    }
+}
+
+impl Occupied {
+    /// How readily it makes room, the least first; none while it waits for its answer.
+    fn rank(&self, now: Nanos) -> Option<(u8, Nanos)> {
+        match self.state {
             State::Silent(since) | State::Partial(since) => {
                 Some((if now >= since + PROBATION { 0 } else { 2 }, since))
             }
-            State::Idle(since) => Some((u8::from(seat.useful), since)),
+            State::Idle(since) => Some((u8::from(self.useful), since)),
             State::Served => None,
-        };
-        if let Some(seat) = seats.values().filter(|s| rank(s).is_some()).min_by_key(rank) {
-            seat.close.notify_one();
         }
     }
 }
@@ -166,6 +185,7 @@
             Ok((stream, _)) => {
                 failing = false;
                 s.book.borrow_mut().counters.connections += 1;
+                s.listener.thin(s.clock.now(), s.upgrade.elsewhere().inbound);
                 tokio::task::spawn_local(serve(Seat::new(&s), stream, false, true));
             }
             Err(e) => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -110,7 +110,7 @@
         router: route::Router::new(Dispatcher::new(epoch.settings.clone(), config.seed)),
         wheel: wheel::Wheel::new(clock.now()),
         pool: send::Pool::new(config.outbound, epoch.terms.keepalive),
-        listener: intake::Listener::new(config.inbound),
+        listener: intake::Listener::new(config.inbound, config.ample),
         book: RefCell::default(),
         group: discovery::Group::default(),
         orders: RefCell::default(),
