A lone scheduler that is told to end takes jobs until its last answers are due

Change: where the settings name one scheduler, service.rs closes at 0.2 s before the answers are due (3.3 s after SIGTERM with 3 s of wait) instead of at half of the wait. With others in the tier nothing changes: their clients go there.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -33,12 +33,14 @@
     state: State,
     /// The longest time that a client waits.
     longest: Nanos,
+    /// No other scheduler serves its clients.
+    alone: bool,
 }
 
 impl Service {
-    /// In service, for clients that wait no longer than `longest`.
-    pub fn new(longest: Nanos) -> Service {
-        Service { state: State::In, longest }
+    /// In service, for clients that wait no longer than `longest`; whether no other scheduler serves them.
+    pub fn new(longest: Nanos, alone: bool) -> Service {
+        Service { state: State::In, longest, alone }
     }
 
     /// The state.
@@ -92,11 +94,13 @@
 
     /// When jobs cease to be taken and idle connections close. At an end clients keep to the connections that they
     /// have, and while a peer restarts as well nobody else serves them: those stay in use for half of the wait, and the
-    /// other half is left to what was taken last.
+    /// other half is left to what was taken last. Nobody else serves the clients of a lone scheduler, so it takes jobs to
+    /// the last moment: one that does not end in time is lost either way.
     pub fn closing(&self) -> Option<Nanos> {
         match self.state {
             State::In => None,
             State::Draining(at) => Some(at + TAKES),
+            State::Ending(at) if self.alone => Some(at + NOTICE + self.wait() - 2 * self.margin()),
             State::Ending(at) => Some(at + NOTICE + self.wait() / 2),
         }
     }
@@ -116,11 +120,15 @@
     pub fn answer_by(&self) -> Option<Nanos> {
         let wait = self.wait();
         match self.state {
-            State::Ending(at) => Some(at + NOTICE + wait - MARGIN.min(wait / 4)),
+            State::Ending(at) => Some(at + NOTICE + wait - self.margin()),
             _ => None,
         }
     }
 
+    fn margin(&self) -> Nanos {
+        MARGIN.min(self.wait() / 4)
+    }
+
     fn wait(&self) -> Nanos {
         self.longest.min(LONGEST)
     }
@@ -135,7 +143,7 @@
 
     #[test]
     fn a_drain_takes_jobs_parts_with_its_clients_and_is_over_in_time() {
-        let mut service = Service::new(5_000 * MS);
+        let mut service = Service::new(5_000 * MS, false);
         assert!(service.drain(0) && !service.drain(1_000 * MS), "a second call does not begin it anew");
         let at = |ms: Nanos| (service.healthy(), service.parting(ms * MS), service.refusing(ms * MS));
         assert_eq!(
@@ -150,13 +158,16 @@
 
     #[test]
     fn an_end_is_final_and_keeps_half_of_the_wait_for_what_was_taken_last() {
-        let mut service = Service::new(5_000 * MS);
+        let mut service = Service::new(5_000 * MS, false);
         service.drain(0);
         assert!(service.end(100 * MS) && !service.end(200 * MS));
         assert!(!service.resume() && !service.drain(300 * MS));
         service.patience(1);
         assert_eq!(service.closing(), Some(2_300 * MS));
         assert_eq!(service.answer_by(), Some(3_600 * MS));
+        let mut alone = Service::new(5_000 * MS, true);
+        alone.end(100 * MS);
+        assert_eq!((alone.closing(), alone.answer_by()), (Some(3_400 * MS), Some(3_600 * MS)));
     }
 
     proptest! {
@@ -164,7 +175,7 @@
         /// refuses also parts.
         #[test]
         fn every_order_of_words_leaves_one_clear_state(words in prop::collection::vec(0u8..4, 0..30)) {
-            let mut service = Service::new(3_000 * MS);
+            let mut service = Service::new(3_000 * MS, false);
             let mut ended = false;
             for (i, word) in words.into_iter().enumerate() {
                 let now = i as Nanos * 500 * MS;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -114,7 +114,7 @@
         book: RefCell::default(),
         group: discovery::Group::default(),
         orders: RefCell::default(),
-        shutdown: shutdown::Shutdown::new(epoch.longest()),
+        shutdown: shutdown::Shutdown::new(epoch.longest(), epoch.settings.dispatchers <= 1),
         upgrade: upgrade::Upgrade::new(&config, before.is_some()),
         epoch: RefCell::new(epoch),
         clock,
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -23,9 +23,9 @@
 }
 
 impl Shutdown {
-    /// For a scheduler whose clients wait no longer than `longest`.
-    pub fn new(longest: Nanos) -> Self {
-        let service = Cell::new(Service::new(longest));
+    /// For a scheduler whose clients wait no longer than `longest`; whether no other serves them.
+    pub fn new(longest: Nanos, alone: bool) -> Self {
+        let service = Cell::new(Service::new(longest, alone));
         Shutdown { service, turned: Notify::new(), close_idle: Notify::new() }
     }
 
