A file that was turned down does not end the process that takes over

Need: a running process turns a faulty file down and keeps its settings; one started beside it read the same file, and would have ended with status 2, a crash in an upgrade, or taken a deadline of 0 in, as a start asks for less than a reload.

Change: where LB_FD is set, a process keeps what it found good beside the link in TMPDIR; one that starts checks its file against that as a reload does, and stands on it where the file fails, saying so. SIGHUP and SIGTERM are taken over before the first wait of a start, not after it.

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -52,6 +52,8 @@
     pub known: serde_json::Value,
     /// The settings of the start.
     pub epoch: Rc<Epoch>,
+    /// What was wrong with the file, where an earlier process's configuration stands in for it.
+    pub passed_over: Option<String>,
     /// The file it was read from, and what stood there when it was last found good.
     file: PathBuf,
     keys: RefCell<Keys>,
@@ -110,12 +112,27 @@
             Some(path) => path.to_path_buf(),
             None => env("LB_CONFIG").ok_or("LB_CONFIG: not set, and no --config given")?.into(),
         };
-        let (mut raw, keys) = Raw::read(&path)?;
-        raw.name = env("LB_NAME").or(raw.name);
-        raw.listen = env("LB_LISTEN").or(raw.listen);
-        raw.discovery = env("LB_DISCOVERY").or(raw.discovery);
-        raw.control = raw.control.or(env("LB_CONTROL"));
-        let mut config = raw.check(path, keys)?;
+        let listen = env("LB_LISTEN");
+        let over = |mut raw: Raw| {
+            raw.name = env("LB_NAME").or(raw.name);
+            raw.listen = listen.clone().or(raw.listen);
+            raw.discovery = env("LB_DISCOVERY").or(raw.discovery);
+            raw.control = raw.control.or(env("LB_CONTROL"));
+            raw
+        };
+        // What a process of this scheduler has found good: a file that it turned down must not end the next one.
+        let kept = listen.as_deref().and_then(|at| beside(at, "json")).and_then(|file| Raw::read(&file).ok());
+        let fresh = Raw::read(&path).and_then(|(raw, keys)| {
+            kept.iter().try_for_each(|kept| changes::check(&kept.1, &keys))?;
+            over(raw).check(path.clone(), keys)
+        });
+        let mut config = match (fresh, kept) {
+            (Ok(config), _) => config,
+            (Err(fault), Some((raw, keys))) => {
+                Config { passed_over: Some(fault), ..over(raw).check(path, keys)? }
+            }
+            (Err(fault), None) => return Err(fault),
+        };
         config.inherited = match env("LB_FD") {
             Some(text) => {
                 Some(text.parse().map_err(|_| format!("LB_FD: {text:?} is no number of a descriptor"))?)
@@ -146,9 +163,29 @@
     /// What a reload brought is in force: the next one is compared with it.
     pub fn took(&self, fresh: Fresh) {
         *self.keys.borrow_mut() = fresh.keys;
+        self.keep();
+    }
+
+    /// Keeps what is in force for the process that takes this one's place, where there may be one.
+    pub fn keep(&self) {
+        let Some(file) = beside(&self.listen.to_string(), "json") else { return };
+        let fresh = file.with_extension(std::process::id().to_string());
+        let text = serde_json::Value::Object(self.keys.borrow().clone()).to_string();
+        if let Err(e) = std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, &file)) {
+            tracing::warn!("{}: {e}; the next process has its own file alone", file.display());
+        }
     }
 }
 
+/// A file that the processes of a scheduler share, where one may take another's place (`LB_FD`): in `$TMPDIR`, named by
+/// the address that they share, as a directory may be shared by schedulers.
+pub fn beside(listen: &str, ending: &str) -> Option<PathBuf> {
+    let set = |name: &str| std::env::var_os(name).filter(|v| !v.is_empty());
+    set("LB_FD")?;
+    let name = format!("loomlb-{}.{ending}", listen.replace([':', '[', ']'], "-"));
+    Some(PathBuf::from(set("TMPDIR")?).join(name))
+}
+
 fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{key}: {text:?} is no address of the form IP:PORT"))
 }
@@ -162,7 +199,7 @@
         let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
         let raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text));
         let raw = raw.map_err(|e| match e.path().to_string().as_str() {
-            "." => format!("the file: {}", e.inner()),
+            "." | "?" => format!("the file: {}", e.inner()),
             path => format!("{path}: {}", e.inner()),
         })?;
         let keys = serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -211,6 +248,7 @@
             peers_all: optional("peers_all", self.peers_all)?,
             known: self.known,
             epoch: Rc::new(Epoch { terms: boot.terms(), settings, names }),
+            passed_over: None,
             file,
             keys: RefCell::new(keys),
         })
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -85,6 +85,12 @@
 }
 
 async fn run(config: Config, quotas: shares::Quotas) -> io::Result<()> {
+    // Before anything that takes time: a signal that nobody has taken over ends the program.
+    let (hangup, signals) = (reload::take_over()?, shutdown::Signals::new()?);
+    if let Some(fault) = &config.passed_over {
+        tracing::error!("configuration: {fault}; starting from the one that ran before");
+    }
+    config.keep();
     let named = |what: &str, e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
     let listener = match config.inherited {
         Some(number) => {
@@ -121,9 +127,7 @@
         peers,
         config,
     });
-    // Before anyone can know that it serves: a signal that nobody has taken over ends the program.
-    reload::start(&s)?;
-    let signals = shutdown::Signals::new()?;
+    reload::start(&s, hangup);
     tracing::info!("{} serves at {}", s.config.name, listener.local_addr()?);
     upgrade::start(&s, before);
     send::sweep(&s);
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -5,13 +5,17 @@
 use loomlb_decide::{Event, Start};
 use std::io;
 use std::rc::Rc;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 
 /// Takes SIGHUP over, for as long as the program runs: left to its default it would end the program with
-/// every flow it has taken. A faulty configuration is logged by its key and changes nothing.
-pub fn start(s: &Rc<Scheduler>) -> io::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
+/// every flow it has taken.
+pub fn take_over() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Reads the configuration again at every SIGHUP. A faulty one is logged by its key and changes nothing.
+pub fn start(s: &Rc<Scheduler>, mut hangup: Signal) {
     let s = Rc::clone(s);
     spawn_local(async move {
         while hangup.recv().await.is_some() {
@@ -28,7 +32,6 @@
             }
         }
     });
-    Ok(())
 }
 
 /// Reads the file, and puts all of it in force or nothing.
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -1,7 +1,7 @@
 //! Upgrade: this process takes over from one that runs, and hands over to one that starts. Only where the platform holds
 //! the listening socket (`LB_FD`). Who accepts when is decided in `loomlb-handover`.
 
-use super::config::Config;
+use super::config::{Config, beside};
 use super::discovery::{self, List, number};
 use super::relay::{self, Heard};
 use super::{Scheduler, control, intake, route};
@@ -157,15 +157,14 @@
     }
 }
 
-/// The socket's name follows from the address that both processes share, as a directory may be shared by schedulers.
+/// Where processes of this scheduler meet.
 fn path(config: &Config) -> Option<PathBuf> {
     config.inherited?;
-    let folder = std::env::var_os("TMPDIR").filter(|v| !v.is_empty()).map(PathBuf::from);
-    if folder.is_none() {
+    let path = beside(&config.listen.to_string(), "sock");
+    if path.is_none() {
         tracing::warn!("TMPDIR: not set; a process that replaces this one starts from its configuration");
     }
-    let address = config.listen.to_string().replace([':', '[', ']'], "-");
-    Some(folder?.join(format!("loomlb-{address}.sock")))
+    path
 }
 
 /// The process before this one, as far as the first words go.
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -144,6 +144,7 @@
     fn lend(&self, command: &mut Command) {
         let socket: OwnedFd = self.listener.try_clone().unwrap().into();
         command.stdin(Stdio::from(socket)).env("LB_FD", "0").env("TMPDIR", self.folder.path());
+        command.env("LB_LISTEN", "127.0.0.1:0");
     }
     /// Where a process finds the one before it.
     pub fn link(&self) -> std::path::PathBuf {
@@ -157,6 +158,8 @@
     pub at: SocketAddr,
     /// The second address, where it was asked for.
     pub control: SocketAddr,
+    /// The first line of its log.
+    pub first_line: String,
     log: Receiver<String>,
     config: String,
     files: tempfile::TempDir,
@@ -175,6 +178,15 @@
     pub fn beside(known: &[&Server], discovery: &Server, platform: &Platform) -> Stage {
         Stage::launch(known, discovery, r#""control":"127.0.0.1:0","#, |command| platform.lend(command))
     }
+    /// The same with a text in place of its configuration.
+    pub fn beside_as(discovery: &Server, platform: &Platform, text: &str) -> Stage {
+        let text = text.to_string();
+        Stage::launch(&[], discovery, r#""control":"127.0.0.1:0","#, move |command| {
+            platform.lend(command);
+            let file = command.get_args().last().unwrap().to_owned();
+            std::fs::write(file, text).unwrap();
+        })
+    }
     fn launch(known: &[&Server], discovery: &Server, more: &str, with: impl FnOnce(&mut Command)) -> Stage {
         let entries: Vec<String> = known.iter().map(|t| t.entry("active")).collect();
         let config = format!(
@@ -194,8 +206,10 @@
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).all(|line| tell.send(line).is_ok()));
         let nowhere = ([127, 0, 0, 1], 0).into();
-        let mut stage = Stage { child, at: nowhere, control: nowhere, log, config, files };
-        stage.at = stage.logged("serves at ").parse().unwrap();
+        let first_line: String = log.recv_timeout(LONG).unwrap();
+        let mut stage = Stage { child, at: nowhere, control: nowhere, first_line, log, config, files };
+        let at = stage.first_line.split_once("serves at ").map(|(_, at)| at.to_string());
+        stage.at = at.unwrap_or_else(|| stage.logged("serves at ")).parse().unwrap();
         if stage.config.contains("\"control\"") {
             stage.control = stage.logged("control at ").parse().unwrap();
         }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -122,6 +122,28 @@
     }
 }
 
+#[test]
+fn a_file_that_was_turned_down_does_not_end_the_process_that_takes_over() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let mut old = Stage::beside(&[&target], &discovery, &platform);
+    old.ready();
+    old.reload(r#""name":"lodge""#, r#""name":"sign""#);
+    old.logged("configuration reloaded");
+    let faulty = old.config().replacen("5000000000", "0", 1);
+    for (text, fault) in [(&*faulty, "settings.classes[0].give_up: 0 is no number"), ("{", "the file: EOF")] {
+        let new = Stage::beside_as(&discovery, &platform, text);
+        let said = &new.first_line;
+        assert!(said.contains(fault) && said.ends_with("starting from the one that ran before"), "{said}");
+        new.ready();
+        // It runs by what the old one had taken in last.
+        assert!(new.ask(&job("lodge", "a1", "3.000")).ends_with("unknown class"));
+        let mut client = new.connect();
+        client.say(&job("sign", "a2", "3.000"));
+        assert!(target.accept().hear().contains("a2"));
+    }
+}
+
 #[test]
 fn a_descriptor_that_is_no_listening_socket_ends_the_start_at_once() {
     let files = tempfile::tempdir().unwrap();
