--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -429,3 +429,36 @@
         }
     }
 }
+
+#[test]
+fn idle_connections_make_room_long_before_all_places_are_taken() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    // Of 64 descriptors 22 are places at the listener, and a quarter of all is 16.
+    let stage = Stage::new(&[&target], &discovery);
+    let done = |id: &str| {
+        stage.call_back(&format!(r#"{{"id":"{id}","from":"s-00000001","state":"done","result":"{id}"}}"#))
+    };
+    let mut waits = stage.connect();
+    waits.say(&job("lodge", "a1", "4.900"));
+    let mut line = target.accept();
+    assert!(line.hear().contains("a1"));
+    line.say(&response("202 Accepted", ""));
+    let mut kept = Vec::new();
+    for i in 0..18 {
+        let (id, mut client) = (format!("b{i}"), stage.connect());
+        client.say(&job("view", &id, "3.000"));
+        assert!(line.hear().contains(&id));
+        line.say(&response("202 Accepted", ""));
+        done(&id);
+        assert!(client.answer().ends_with(&id));
+        kept.push(client);
+    }
+    // Call-backs come on connections of their own: with each of them the client that was idle for longest leaves.
+    let begun = std::time::Instant::now();
+    assert!(kept[0].closed() && begun.elapsed() < std::time::Duration::from_secs(10), "it is kept");
+    let last = kept.last_mut().unwrap();
+    last.say("GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(last.answer().ends_with("ready"));
+    done("a1");
+    assert!(waits.answer().ends_with("a1"));
+}
