--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -359,3 +359,47 @@
     out.extend_from_slice(body);
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    const CHUNKED: &str = "POST /view/7f?x=1 HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a1\r\n\
+        Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n6\r\n world\r\n0\r\nTrailer: t\r\n\r\n";
+    const SIZED: &str = "POST /v1/job-events HTTP/1.1\r\ncontent-length: 11\r\n\r\nhello world";
+    const ANSWER: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 11\r\n\r\nhello world";
+
+    /// Has these pieces written one after the other, then the side closed; what is read of them.
+    async fn read(kind: Kind, pieces: &[&str]) -> Result<Message, Fault> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut writer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let mut wire = Wire::new(listener.accept().await.unwrap().0);
+        let write = async {
+            for piece in pieces {
+                writer.write_all(piece.as_bytes()).await.unwrap();
+                // So that most pieces are read alone; the verdict does not hang on it.
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            drop(writer);
+        };
+        tokio::join!(wire.read(kind), write).0
+    }
+
+    #[tokio::test]
+    async fn messages_cut_at_any_byte_are_read_whole_or_end_as_broken() {
+        for (kind, text) in [(Kind::Request, CHUNKED), (Kind::Request, SIZED), (Kind::Response, ANSWER)] {
+            for cut in 0..text.len() {
+                let (first, rest) = text.split_at(cut);
+                let message = read(kind, &[first, rest]).await.unwrap();
+                assert_eq!(&*message.body, b"hello world", "cut at {cut}: {text}");
+                assert!(message.keep_alive);
+                // Whoever leaves there has said nothing whole.
+                let fault = read(kind, &[first]).await.unwrap_err();
+                let between = cut == 0 || text[..cut].ends_with("100 Continue\r\n\r\n");
+                assert!(matches!(fault, Fault::Closed) == between, "left at {cut}: {fault:?}");
+                assert!(matches!(fault, Fault::Closed | Fault::Broken), "left at {cut}: {fault:?}");
+            }
+        }
+    }
+}
