--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -368,7 +368,8 @@
     const CHUNKED: &str = "POST /view/7f?x=1 HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: a1\r\n\
         Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n6\r\n world\r\n0\r\nTrailer: t\r\n\r\n";
     const SIZED: &str = "POST /v1/job-events HTTP/1.1\r\ncontent-length: 11\r\n\r\nhello world";
-    const ANSWER: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 11\r\n\r\nhello world";
+    const ANSWER: &str =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 11\r\n\r\nhello world";
 
     /// Has these pieces written one after the other, then the side closed; what is read of them.
     async fn read(kind: Kind, pieces: &[&str]) -> Result<Message, Fault> {
