Find the connection that makes room in one pass, and say an end's no once

Need, on reading the change again: thin() looked through all places for a spare one, and evict() then looked again, at every connection beyond a quarter of the descriptors; control.rs had the same no for an end in two arms; a comment in upgrade.rs spoke of what does not happen there.

Change: evict() takes the rank that stays, named JUST_COME; the arms are one; the comment is gone.

Left: a start with a silent partner, and the copies of a module's means in carry.rs, which name each field twice.

--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -155,9 +155,8 @@
     }
     let service = s.shutdown.service();
     match &call {
-        Call::Ready if service.ending() => no(503, "ending"),
+        Call::Ready | Call::OutOfService | Call::InService if service.ending() => no(503, "ending"),
         Call::Ready if !s.upgrade.accepts() => no(503, s.upgrade.why_not()),
-        Call::OutOfService | Call::InService if service.ending() => no(503, "ending"),
         _ => Reply { status: 200, body: state(s), allow: None },
     }
 }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -21,6 +21,8 @@
 const WHOLE: Duration = Duration::from_secs(2);
 /// A connection younger than this may have its request on the way: others make room first.
 const PROBATION: Nanos = 250_000_000;
+/// The rank of a connection within its probation: the last to make room.
+const JUST_COME: u8 = 2;
 /// An answer is read by its client within this time.
 const TAKEN: Duration = Duration::from_secs(10);
 /// Connections idle for longer are closed.
@@ -86,9 +88,11 @@
     /// longest and never brought work; then an idle one that has, as its client may be about to use it again;
     /// only then one that has just come. Call-backs need a seat too, and would else wait behind connections
     /// that say nothing, half of something, or nothing more.
-    fn evict(&self, now: Nanos) {
+    /// Ranks of `below` and more stay.
+    fn evict(&self, now: Nanos, below: u8) {
         let seats = self.seats.borrow();
         let ranked = seats.values().filter_map(|seat| Some((seat.rank(now)?, seat)));
+        let ranked = ranked.filter(|(rank, _)| rank.0 < below);
         if let Some((_, seat)) = ranked.min_by_key(|(rank, _)| *rank) {
             seat.close.notify_one();
         }
@@ -98,9 +102,8 @@
     /// limited number of connections to it, and clients whose requests come beyond that are turned away there, where
     /// nobody here hears of them.
     fn thin(&self, now: Nanos, elsewhere: usize) {
-        let spare = || self.seats.borrow().values().any(|s| s.rank(now).is_some_and(|r| r.0 < 2));
-        if self.taken() + elsewhere > self.ample && spare() {
-            self.evict(now);
+        if self.taken() + elsewhere > self.ample {
+            self.evict(now, JUST_COME);
         }
     }
 }
@@ -110,7 +113,7 @@
     fn rank(&self, now: Nanos) -> Option<(u8, Nanos)> {
         match self.state {
             State::Silent(since) | State::Partial(since) => {
-                Some((if now >= since + PROBATION { 0 } else { 2 }, since))
+                Some((if now >= since + PROBATION { 0 } else { JUST_COME }, since))
             }
             State::Idle(since) => Some((u8::from(self.useful), since)),
             State::Served => None,
@@ -173,7 +176,7 @@
             continue;
         }
         if s.listener.taken() + s.upgrade.elsewhere().inbound >= s.listener.limit {
-            s.listener.evict(s.clock.now());
+            s.listener.evict(s.clock.now(), JUST_COME + 1);
             let _ = tokio::time::timeout(ACCEPT_PAUSE, s.listener.left.notified()).await;
             continue;
         }
@@ -194,7 +197,7 @@
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!("accept: {e}");
                 }
-                s.listener.evict(s.clock.now());
+                s.listener.evict(s.clock.now(), JUST_COME + 1);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -377,7 +377,6 @@
     };
     partner.link.close();
     s.upgrade.partners.borrow_mut().retain(|p| !Rc::ptr_eq(p, &partner));
-    // Whoever waits for its word waits no longer than for a silent one.
     forget(&s);
     if partner.successor {
         if !s.upgrade.left.get() && s.upgrade.turn(Old::broken) == Act::Resume {
