Move the arithmetic of cold workers and of share buckets out of the policy files

Change: what a cold worker bears and a share's bucket are arithmetic; they decide nothing and stand in cold.rs and state.rs now.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod api;
 pub mod boot;
+mod cold;
 mod fading;
 mod groups;
 mod message;
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -6,6 +6,7 @@
 //! `usable` lets pass.
 
 use crate::api::*;
+use crate::cold;
 use crate::fading::{Fading, fade, toward};
 use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
@@ -41,8 +42,6 @@
 const LATE: Nanos = 10_000_000_000;
 /// Part of a worker's slots that a request worth nothing leaves free.
 const RESERVE: f64 = 0.2;
-/// Standard deviations kept free below a cold worker's limit.
-const COLD_SIGMAS: f64 = 3.5;
 
 /// Tokens of the timers: ask for the list, look at the held requests now and then, or once.
 const WATCH: u64 = 1;
@@ -377,13 +376,7 @@
         let equal = 1.0 / f64::from(self.set.dispatchers.max(1));
         let part = if used.len() > 1 { equal.max(used[(used.len() - 1) / 2]) } else { equal };
         let (rate, own) = (part * quota(t), here(t));
-        let share = &mut self.share[t];
-        let level = share.level + rate * self.now.saturating_sub(share.at) as f64 / 1e9;
-        let level = level.min(5.0 + SHARE_SPAN * rate);
-        share.used.set(self.now, own + if retry { 0.0 } else { 1.0 / SHARE_SPAN });
-        share.level = if level >= 1.0 { level - 1.0 } else { level };
-        share.at = self.now;
-        level >= 1.0
+        self.share[t].take(self.now, SHARE_SPAN, rate, if retry { own } else { own + 1.0 / SHARE_SPAN })
     }
 
     /// The last moment at which an attempt may end and an answer still go out in time.
@@ -704,48 +697,33 @@
         known.slots.or(of_kind)
     }
 
-    /// The part of its capacity that a worker surely has: it rises evenly or faster from the cold share.
     fn warmth(&self, entry: &Worker, at: Nanos) -> f64 {
-        let age = at.saturating_sub(entry.started) as f64;
-        let cold = self.set.rules.cold as f64;
-        if entry.started == 0 || age >= cold {
-            return 1.0;
-        }
-        self.set.rules.cold_from + (1.0 - self.set.rules.cold_from) * age / cold
+        cold::warmth(&self.set.rules, entry.started, at)
     }
 
     /// What a job is charged on a cold worker, and the credit there. All dispatchers together must stay
     /// below multiple x capacity x window in every window, each knowing its own sends alone: each gets
-    /// an equal part of the rate, out of step with the others, and a job counts for more the larger it
-    /// is against the whole budget, so that a window keeps COLD_SIGMAS deviations of what comes by
-    /// chance. None: it is warm.
+    /// an equal part of the rate, out of step with the others. None: it is warm.
     fn cold_cost(&self, w: usize, class: usize, slots: f64) -> Option<(f64, f64)> {
         let known = &self.workers[w];
         let warmth = self.warmth(&known.entry, self.now);
         if warmth >= 1.0 {
             return None;
         }
-        let rules = &self.set.rules;
         let capacity = self.slots(known).unwrap_or(1.0).max(1.0);
-        // The budget as of the last send: were it today's, all would find their credit grown at once.
         let before = self.warmth(&known.entry, known.cold_at);
-        let budget = rules.fall_multiple * before * capacity * rules.fall as f64;
-        let job = self.learned[class].run * slots.max(1.0);
-        let b = COLD_SIGMAS * (2.0 * job / budget).sqrt();
-        let part = (((b * b + 4.0).sqrt() - b) / 2.0).powi(2);
-        let rate = rules.fall_multiple * (before + warmth) / 2.0 * capacity;
+        let budget = cold::Budget::new(&self.set.rules, capacity, before, warmth);
+        let charge = budget.charge(self.learned[class].run * slots.max(1.0));
         // In one zone a cold worker is its group's alone, by the settings and its id, whatever a list says.
         let all = self.set.dispatchers.max(1) as usize;
         let split = if self.set.zones <= 1 && self.set.limits.peers { all.div_ceil(GROUP) } else { 1 };
         let tier = Tier::new(all, split);
         let sharers = tier.members(tier.home(known.entry.id.0));
         if split > 1 && !sharers.contains(&(self.set.me.0 as usize)) {
-            return Some((job / part, f64::NEG_INFINITY));
+            return Some((charge, f64::NEG_INFINITY));
         }
-        let rate = rate / sharers.len() as f64;
-        let waited = self.now.saturating_sub(known.cold_at) as f64;
-        let credit = known.cold_credit + rate * waited - known.cold_phase * job / part;
-        Some((job / part, credit.min(0.0)))
+        let waited = self.now.saturating_sub(known.cold_at) as f64 * budget.rate / sharers.len() as f64;
+        Some((charge, (known.cold_credit + waited - known.cold_phase * charge).min(0.0)))
     }
 
     /// Where a request may go again, by what its attempts may have done.
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -185,8 +185,21 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Share {
     pub(crate) used: Fading,
-    pub(crate) level: f64,
-    pub(crate) at: Nanos,
+    level: f64,
+    at: Nanos,
+}
+
+impl Share {
+    /// A request at a moment when `used` a second are counted. The bucket fills by `rate` a second, for `span` seconds at
+    /// most and a few requests; whether it held one.
+    pub(crate) fn take(&mut self, now: Nanos, span: f64, rate: f64, used: f64) -> bool {
+        self.used.set(now, used);
+        let level = self.level + rate * now.saturating_sub(self.at) as f64 / 1e9;
+        let level = level.min(5.0 + span * rate);
+        self.level = if level >= 1.0 { level - 1.0 } else { level };
+        self.at = now;
+        level >= 1.0
+    }
 }
 
 /// Random numbers from the seed of the instance alone.
