Start words and hints decide which workers still end a job within its aim

Queues at the workers grew to several seconds. Cause: load is told by probes alone there, these cost 0.01 and ask() sends none above 0.005, so no worker's slots are known and in_way() always finds room; the guards for Reports::None (request(), pick_among()) do not hold for Reports::Probes either. Change: a meter for each worker, fed by start words and ends of own attempts: the wait met last, the oldest that has not begun, its pace against the hint of a job's work, and the subjects it served last. usable() leaves out workers where a hinted job would end late by it; where answers report room or no hint comes, nothing changes.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -360,6 +360,20 @@
     Progress(f64),
 }
 
+impl Report {
+    /// The report without what is no count: negative, infinite or none.
+    pub(crate) fn sane(&self) -> Report {
+        let sane = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
+        Report {
+            in_flight: sane(self.in_flight),
+            queue: sane(self.queue),
+            free_slots: sane(self.free_slots),
+            busy: sane(self.busy),
+            latency_ms: sane(self.latency_ms),
+        }
+    }
+}
+
 /// Receivers of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Receiver {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 mod fading;
 mod groups;
 mod message;
+mod meter;
 mod network;
 pub mod rules;
 mod state;
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -7,7 +7,7 @@
 
 use crate::api::*;
 use crate::cold;
-use crate::fading::{Fading, fade, toward};
+use crate::fading::{Fading, toward};
 use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
 mod carry;
@@ -40,6 +40,10 @@
 const LOST: f64 = 60e9;
 /// A peer's word that is overtaken by a later one comes within this time of it.
 const LATE: Nanos = 10_000_000_000;
+/// What an own job that has not begun adds to the wait for a worker, in mean running times.
+const AHEAD: f64 = 0.5;
+/// A job is to end by this part of its class's aim before it is late: others send to the same worker.
+const MARGIN: f64 = 0.7;
 /// Part of a worker's slots that a request worth nothing leaves free.
 const RESERVE: f64 = 0.2;
 
@@ -81,6 +85,8 @@
     mean_run: f64,
     waits: Vec<Fading>,
     mean_worth: f64,
+    /// How much longer a job runs where its subject's data must be fetched.
+    fetch: f64,
     /// Slots that a request takes.
     mean_need: f64,
     most_need: f64,
@@ -336,6 +342,8 @@
         let work = request.expected.map_or(learned.run * 0.3, |e| e as f64 * 0.6);
         let slack = class.aim as f64 * 0.7 + (class.stretch - 1.0) * work;
         let start_by = (self.now + slack.max(0.0) as Nanos).saturating_sub(before);
+        let work = request.expected.map_or(learned.run, |e| e as f64);
+        let aim_by = (self.now + class.aim + (class.stretch * work) as Nanos).saturating_sub(before);
         let in_share = request.in_share.unwrap_or_else(|| self.in_share(request.tenant, request.retry));
         let worth = self.worth(request.class.0);
         toward(&mut self.mean_worth, worth, 0.01);
@@ -344,6 +352,8 @@
             most: self.set.limits.max_attempts,
             deadline: self.now.saturating_add(request.remaining),
             start_by,
+            aim_by,
+            work,
             in_share,
             request,
             ..Job::default()
@@ -432,6 +442,7 @@
         known.attempts += 1;
         known.peak = known.peak.max(known.attempts);
         known.own += job.request.slots;
+        known.meter.sent(id, job.attempts.len() as u32 - 1, self.now, job.work, job.request.key);
         let timeout = job.deadline.saturating_sub(2 * self.set.tick).saturating_sub(self.now).max(1);
         let worker = known.entry.id;
         let (class, slots) = (job.request.class.0, job.request.slots);
@@ -583,7 +594,9 @@
             };
             // Where no report tells of queues, the waits met in a zone stand for them: a zone with too few
             // workers for its clients would else be kept full to the last while others have room.
-            if self.slots(known).is_none() {
+            if self.by_starts() {
+                in_way += known.meter.wait(self.now) / run;
+            } else if self.slots(known).is_none() {
                 in_way += waits.get(known.entry.zone.0).copied().unwrap_or(0.0);
             }
             let silent = known.silent(self.now) / (SILENCE * self.mean_run).max(1.0);
@@ -619,6 +632,7 @@
             && known.full_until <= self.now
             && self.repeat(job).allows(&known.entry)
             && job.attempts.iter().all(|a| a.worker != w)
+            && self.in_time(job, known)
             && self
                 .cold_cost(w, job.request.class.0, job.request.slots)
                 .is_none_or(|(_, credit)| credit >= 0.0)
@@ -649,15 +663,30 @@
         let load = known.own + self.others(known);
         // A large job seldom finds all its slots free. Where a queue is served in order it may wait at
         // the worker for the rest of them; where smaller jobs pass it, it would wait for long.
-        let passed = self.set.queue_order == QueueOrder::Backfill;
-        let first = if passed { need.min(slots) } else { 1.0 };
-        let over = (load + need - slots).max(0.0);
+        let first = if self.set.queue_order == QueueOrder::Backfill { need.min(slots) } else { 1.0 };
         if load + first > room * slots && load > 0.0 {
             return None;
         }
+        let over = (load + need - slots).max(0.0);
         Some(load / slots * 0.5 + WAIT * over / slots * (self.mean_run / run).max(1.0))
     }
 
+    /// Whether a job sent to a worker now likely ends within its aim there. Only start words and hints tell:
+    /// where answers tell of room, or without a hint, a worker with room does.
+    fn in_time(&self, job: &Job, known: &Known) -> bool {
+        if !self.by_starts() || job.request.expected.is_none() {
+            return true;
+        }
+        let margin = MARGIN * self.set.classes[job.request.class.0].aim as f64;
+        let end = known.meter.end(self.now, job.work, job.request.key, self.fetch, self.mean_run * AHEAD);
+        end + margin < job.aim_by as f64
+    }
+
+    /// Whether queues are known by the words of jobs that start, and not by what answers report.
+    fn by_starts(&self) -> bool {
+        self.set.tells_start && self.set.reports != Reports::Answers
+    }
+
     fn zone_wait(&self, zone: usize) -> f64 {
         self.waits.get(zone).map_or(0.0, |w| w.get(self.now, FORGET))
     }
@@ -682,14 +711,9 @@
             return told;
         }
         let slots = self.slots(known).unwrap_or(0.0) * self.warmth(&known.entry, self.now);
-        let mean = self.others_part.min(0.8) * slots;
-        if known.others == mean {
-            return mean.max(told);
-        }
-        let run =
-            if self.mean_run > 0.0 { self.mean_run } else { self.learned.first().map_or(0.0, |l| l.run) };
-        let seen = mean + (known.others - mean) * fade(self.now.saturating_sub(known.reported), 4.0 * run);
-        seen.max(told)
+        let first = self.learned.first().map_or(0.0, |l| l.run);
+        let run = if self.mean_run > 0.0 { self.mean_run } else { first };
+        known.others_seen(self.now, self.others_part.min(0.8) * slots, 4.0 * run).max(told)
     }
 
     fn slots(&self, known: &Known) -> Option<f64> {
@@ -752,6 +776,7 @@
         let Some(a) = job.and_then(|j| j.attempts.get_mut(attempt as usize)) else { return };
         self.workers[a.worker].heard = self.now;
         if note == Note::Started && a.started.is_none() {
+            self.workers[a.worker].meter.started(id, attempt, self.now);
             a.started = Some(self.now);
             let (zone, wait) = (a.zone, self.now.saturating_sub(a.sent));
             if !self.workers[a.worker].near {
@@ -764,22 +789,16 @@
     fn report(&mut self, w: usize, report: &Report) {
         let told = self.all_told();
         let known = &mut self.workers[w];
-        let finite = |v: Option<f64>| v.filter(|v| v.is_finite() && *v >= 0.0);
-        let held = finite(report.in_flight);
-        let free = finite(report.free_slots).filter(|_| self.set.free_slots_reported);
+        let report = report.sane();
+        let free = report.free_slots.filter(|_| self.set.free_slots_reported);
         if let Some(free) = free.filter(|&f| f > 0.5) {
             let of_kind = self.kind_slots.get_mut(known.entry.kind.0);
-            known.learn_size(of_kind, free, held, self.most_need);
-        }
-        let queue = finite(report.queue).unwrap_or(0.0);
-        let held = held
-            .map(|h| h * self.mean_need.max(1.0))
-            .or_else(|| Some((known.slots? - free?).max(0.0) + queue));
-        if let Some(held) = held.filter(|_| !told) {
-            let fresh = self.set.reports == Reports::Probes;
-            let others = (held - if fresh { known.own } else { known.own_mean }).max(0.0);
-            known.others += (others - known.others) * if fresh || known.reported == 0 { 1.0 } else { 0.4 };
-            known.reported = self.now;
+            known.learn_size(of_kind, free, report.in_flight, self.most_need);
+        }
+        let held = report.in_flight.map(|h| h * self.mean_need.max(1.0));
+        let full = |k: &Known| Some((k.slots? - free?).max(0.0) + report.queue.unwrap_or(0.0));
+        if let Some(held) = held.or_else(|| full(known)).filter(|_| !told) {
+            let others = known.others_reported(self.now, held, self.set.reports == Reports::Probes);
             let part = others / known.slots.unwrap_or(others + 1.0).max(1.0);
             self.others_part += (part - self.others_part) * 0.02;
         }
@@ -798,6 +817,8 @@
         known.attempts = known.attempts.saturating_sub(1);
         known.own = (known.own - slots).max(0.0);
         job.answered |= ended.closed;
+        let extra = known.meter.ended(id, attempt, self.now, ended.outcome == Outcome::Served);
+        self.fetch += (extra.unwrap_or(self.fetch) - self.fetch) * 0.02;
         let learned = &mut self.learned[class];
         match ended.outcome {
             Outcome::Served => {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -3,6 +3,7 @@
 use crate::api::*;
 use crate::fading::{Fading, fade};
 use crate::message::Holds;
+use crate::meter::Meter;
 use serde::{Deserialize, Serialize};
 
 /// What is known of a worker.
@@ -30,6 +31,8 @@
     /// Slots, once reports or notes have shown them.
     pub(crate) slots: Option<f64>,
     pub(crate) failures: Fading,
+    /// What its words on starts and ends tell.
+    pub(crate) meter: Meter,
     /// When it last gave a sign of life, or got a job while it had none.
     pub(crate) heard: Nanos,
     pub(crate) full_until: Nanos,
@@ -52,6 +55,23 @@
         if self.attempts == 0 { 0.0 } else { now.saturating_sub(self.heard) as f64 }
     }
 
+    /// What others hold there by the reports. These age, and what others hold turns over: it goes to `mean` within `span`.
+    pub(crate) fn others_seen(&self, now: Nanos, mean: f64, span: f64) -> f64 {
+        if self.others == mean {
+            return mean;
+        }
+        mean + (self.others - mean) * fade(now.saturating_sub(self.reported), span)
+    }
+
+    /// Takes in a report of the slots held there. A fresh one counts as it is, and has counted what is out now; an old one
+    /// has counted what was out of late. What others hold by this one alone.
+    pub(crate) fn others_reported(&mut self, now: Nanos, held: f64, fresh: bool) -> f64 {
+        let others = (held - if fresh { self.own } else { self.own_mean }).max(0.0);
+        self.others += (others - self.others) * if fresh || self.reported == 0 { 1.0 } else { 0.4 };
+        self.reported = now;
+        others
+    }
+
     /// Learns how many slots it has, and workers of its kind, from a report of its free ones and of the jobs held.
     /// Slots may be free while jobs wait behind one that needs more: only where the largest seen, `most`, would
     /// fit is all that is held in work. A full worker would else look larger the more wait there.
@@ -146,6 +166,9 @@
     pub(crate) most: u32,
     /// Not sent again before: full answers in a row mean that the next is likely full too.
     pub(crate) not_before: Nanos,
+    /// When its answer is late, by its own work, and that work in nanoseconds on a standard core.
+    pub(crate) aim_by: Nanos,
+    pub(crate) work: f64,
     /// Latest start that still ends within the aim, as far as the class's mean job goes.
     pub(crate) start_by: Nanos,
     pub(crate) in_share: bool,
