Read the hint of a job's work from X-Weight-Hint

Seen: on real nodes no job ever had a hint; intake read X-Facts alone, which no site sends. PROTOCOL has X-Weight-Hint in microseconds.

--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -447,7 +447,10 @@
         retry: message.text("X-Repeat") == Some("1"),
         slots: fact(&["slots"]),
         memory: fact(&["memory", "mem"]),
-        expected: fact(&["expected", "hint"]).map(|v| v as Nanos),
+        expected: message
+            .text("X-Weight-Hint")
+            .and_then(weight)
+            .or_else(|| fact(&["expected", "hint"]).map(|v| v as Nanos)),
         work: Work {
             correlation: message.header("X-Correlation-Id").cloned().unwrap_or_default(),
             method: message.method.clone(),
@@ -459,8 +462,29 @@
     })
 }
 
+/// A client's guess at the work, in microseconds, as nanoseconds. What is no number above 0, or more than a day, says
+/// nothing; it is never the client's fault.
+fn weight(text: &str) -> Option<Nanos> {
+    let micros: f64 = text.trim().parse().ok()?;
+    (micros > 0.0 && micros <= 86_400e6).then_some((micros * 1e3) as Nanos)
+}
+
 /// Seconds with decimals, as nanoseconds; none if it is no such number.
 fn seconds(text: &str) -> Option<Nanos> {
     let seconds: f64 = text.parse().ok()?;
     (seconds.is_finite() && (0.0..=86_400.0).contains(&seconds)).then_some((seconds * 1e9) as Nanos)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_hint_counts_in_microseconds_and_a_bad_one_is_none() {
+        assert_eq!(weight("412000"), Some(412_000_000));
+        assert_eq!(weight(" 0.5 "), Some(500));
+        for bad in ["", "-3", "0", "nan", "inf", "1e300", "86400000001", "12 s", "0x10"] {
+            assert_eq!(weight(bad), None, "{bad:?}");
+        }
+    }
+}
