A subject's home is one worker of all zones, where many zones hold a few workers each

Cause: reach() began with 1.5 of the workers of one zone; with 3 workers to a zone that is half of the fleet, so no worker saw a subject often enough to keep it. It worked in one zone by luck. It begins with 1.5 of all now; crossing is priced in in_way as before.

--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -643,7 +643,7 @@
         job.request.key.map_or(1.0, |k| lean(k.0, self.workers[w].entry.id.0))
     }
 
-    /// The part of the workers that a job may go to for its key: about one of its zone at first, all in
+    /// The part of the workers that a job may go to for its key: about one of all zones at first, all in
     /// the end. A worker that has a key's data at hand saves fetching it; workers that keep few keys
     /// keep them longer.
     fn reach(&self, job: &Job) -> f64 {
@@ -652,8 +652,8 @@
         if job.request.key.is_none() || waited >= slack {
             return 1.0;
         }
-        let near = self.nets[job.request.class.0].neurons.len() as f64 / self.set.zones.max(1) as f64;
-        (1.5 / near.max(1.5)).powf(1.0 - waited / slack)
+        let all = self.nets[job.request.class.0].neurons.len() as f64;
+        (1.5 / all.max(1.5)).powf(1.0 - waited / slack)
     }
 
     /// What stands in the way of a job on a worker, in its own running times. None: no room there.
