Probes by their price and by what else tells of the load; guards hold until room is told

Cause: ask() sent three probes or, above a price of 0.005, none; the guards for sites without reports asked for Reports::None, so a site where probing costs more had neither. A restarted worker's queue and subjects are forgotten.

--- a/crates/decide/src/fading.rs
+++ b/crates/decide/src/fading.rs
@@ -1,4 +1,4 @@
-//! Arithmetic of values that fade with time.
+//! Arithmetic of values that fade with time, and of means.
 
 use crate::api::Nanos;
 use serde::{Deserialize, Serialize};
@@ -31,3 +31,9 @@
 pub fn toward(mean: &mut f64, value: f64, part: f64) {
     *mean += (value - *mean) * if *mean > 0.0 { part } else { 1.0 };
 }
+
+/// The middle one of several values, the lower of two; 0 of one or none, which has no peers to be compared with.
+pub fn lower_median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    if values.len() > 1 { values[(values.len() - 1) / 2] } else { 0.0 }
+}
--- a/crates/decide/src/meter.rs
+++ b/crates/decide/src/meter.rs
@@ -45,6 +45,12 @@
 }
 
 impl Meter {
+    /// Its process has started anew: its queue and its data are gone. The machine is as fast as it was.
+    pub(crate) fn restarted(&mut self) {
+        self.keys.clear();
+        self.wait = 0.0;
+    }
+
     /// An attempt has left.
     pub(crate) fn sent(&mut self, id: RequestId, attempt: u32, now: Nanos, work: f64, key: Option<KeyId>) {
         let kept = self.keeps(key);
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -7,7 +7,7 @@
 
 use crate::api::*;
 use crate::cold;
-use crate::fading::{Fading, toward};
+use crate::fading::{Fading, lower_median, toward};
 use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
 mod carry;
@@ -53,9 +53,9 @@
 const GROUP: usize = 12;
 const HELD: u64 = 2;
 const SOON: u64 = 3;
-/// Workers asked before a send, where a probe costs no more than this part of the worth of a request.
-const PROBES: usize = 3;
-const PROBE_PRICE: f64 = 0.005;
+/// Workers asked before a send at most, and the part of the worth of a request that this may cost.
+const PROBES: f64 = 3.0;
+const PROBE_COST: f64 = 0.015;
 
 /// The decision module of one dispatcher.
 #[derive(Debug, Default)]
@@ -204,10 +204,7 @@
         if first || self.workers[w].entry.started != entry.started {
             // A process that has started anew is cold and holds none of what it held.
             let phase = self.rng.0.f64();
-            let known = &mut self.workers[w];
-            (known.others, known.failures, known.full_until) = (0.0, Fading::default(), 0);
-            known.told.clear();
-            (known.cold_credit, known.cold_at, known.cold_phase) = (0.0, self.now, phase);
+            self.workers[w].restarted(self.now, phase);
         }
         let kind = entry.kind;
         self.workers[w].entry = entry;
@@ -231,8 +228,8 @@
 
     /// Frees the place of a worker that has left, once nothing of ours is out there.
     fn let_go(&mut self, w: usize) {
-        let known = &self.workers[w];
-        if !known.listed && known.attempts == 0 && self.index.remove(&known.entry.id).is_some() {
+        let Known { entry, listed, attempts, .. } = &self.workers[w];
+        if !listed && *attempts == 0 && self.index.remove(&entry.id).is_some() {
             self.free.push(w);
         }
     }
@@ -248,8 +245,8 @@
             return;
         }
         self.peers.insert(self.set.me, Peer::new(self.set.zone, self.now));
-        let near = self.peers.iter().filter(|p| p.1.zone == self.set.zone).map(|p| *p.0);
-        let near: Vec<PeerId> = near.collect();
+        let near = self.peers.iter().filter(|p| p.1.zone == self.set.zone);
+        let near: Vec<PeerId> = near.map(|p| *p.0).collect();
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|&w| self.workers[w].listed && self.workers[w].entry.zone == self.set.zone);
         // As many groups as the settings make, or fewer where they would have hardly a worker each.
@@ -311,18 +308,16 @@
     /// Forgets what those told that have ended: they are silent beyond measure, and their jobs are over.
     fn forget_silent(&mut self) {
         let now = self.now;
-        let gone = self.peers.iter_mut().filter_map(|(id, p)| p.falls_silent(now).then_some(*id));
-        let gone: Vec<PeerId> = gone.collect();
-        if !gone.is_empty() {
-            self.workers.iter_mut().for_each(|k| k.told.retain(|t| !gone.contains(&t.peer)));
+        for id in self.peers.iter_mut().filter_map(|(id, p)| p.falls_silent(now).then_some(id)) {
+            self.workers.iter_mut().for_each(|k| k.told.retain(|t| t.peer != *id));
         }
     }
 
     fn list_failed(&mut self, out: &mut Vec<Action>) {
         // Ask again well inside the time after which we count as told, later and later while calls fail.
         self.failed_asks = (self.failed_asks + 1).min(4);
-        let most = self.set.rules.ask_within as f64 * 0.4;
-        let after = most / 16.0 * f64::from(1 << self.failed_asks) * (0.5 + 0.5 * self.rng.0.f64());
+        let most = self.set.rules.ask_within as f64 * 0.4 / f64::from(16 >> self.failed_asks);
+        let after = most * (0.5 + 0.5 * self.rng.0.f64());
         out.push(Action::Timer { after: after as Nanos, token: WATCH });
     }
 
@@ -364,7 +359,7 @@
         self.most_need = self.most_need.max(job.request.slots);
         // Where no report tells of room nothing is held; in overload queues would grow until all is late.
         let patience = self.mean_run + slack * value / self.mean_value.max(1e-9);
-        let refuse = self.set.reports == Reports::None && self.zone_wait(self.set.zone.0) > patience;
+        let refuse = self.blind() && self.zone_wait(self.set.zone.0) > patience;
         self.jobs.insert(id, job);
         if refuse {
             self.end(id, out);
@@ -381,10 +376,8 @@
         let Some(t) = tenant.map(|t| t.0).filter(|&t| t < self.share.len()) else { return true };
         let quota = |t: usize| self.set.tenants[t].quota_per_s.max(1e-9);
         let here = |t: usize| self.share[t].used.get(self.now, SHARE_SPAN * 1e9);
-        let mut used: Vec<f64> = (0..self.share.len()).map(|t| here(t) / quota(t)).collect();
-        used.sort_by(f64::total_cmp);
-        let equal = 1.0 / f64::from(self.set.dispatchers.max(1));
-        let part = if used.len() > 1 { equal.max(used[(used.len() - 1) / 2]) } else { equal };
+        let used = (0..self.share.len()).map(|t| here(t) / quota(t)).collect();
+        let part = lower_median(used).max(1.0 / f64::from(self.set.dispatchers.max(1)));
         let (rate, own) = (part * quota(t), here(t));
         self.share[t].take(self.now, SHARE_SPAN, rate, if retry { own } else { own + 1.0 / SHARE_SPAN })
     }
@@ -406,28 +399,36 @@
             self.end(id, out);
             return true;
         }
-        let asks = self.set.reports == Reports::Probes && self.set.limits.probes && !job.asked;
-        if self.now < job.not_before || asks && self.set.prices.probe <= PROBE_PRICE {
-            return self.now >= job.not_before && self.ask(id, out);
+        if self.now < job.not_before || !job.asked && self.ask(id, out) {
+            return false;
         }
         self.pick(id).is_some_and(|w| self.send(id, w, out))
     }
 
-    /// Where load can be asked for cheaply, a few workers of the zone are asked before a send: a
-    /// dispatcher with little traffic would else know next to nothing. False: the request waits a moment
-    /// for what they say.
+    /// How many workers are asked before a send, on average: as many as their price lets. Where start words
+    /// tell of queues, a few teach how large workers are and which have room again.
+    fn probes(&self) -> f64 {
+        let may = f64::from(u8::from(self.set.reports == Reports::Probes && self.set.limits.probes));
+        let cost = if self.by_starts() { PROBE_COST / 5.0 } else { PROBE_COST };
+        (cost / self.set.prices.probe.max(1e-9)).min(PROBES) * may
+    }
+
+    /// Where load can be asked for, a few workers of the zone are asked before a send: a dispatcher with little
+    /// traffic would else know next to nothing. True: the request waits a moment for what they say.
     fn ask(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else { return true };
+        let probes = self.probes();
+        let probes = if probes > 0.0 { (probes + self.rng.0.f64()) as usize } else { 0 };
+        let Some(job) = self.jobs.get_mut(&id).filter(|_| probes > 0) else { return false };
         let class = job.request.class.0;
         let wait = (self.set.classes[class].aim / 100).max(self.set.tick);
         (job.asked, job.not_before) = (true, self.now + wait);
         let near = self.nets[class].neurons.iter().map(|n| &self.workers[n.worker].entry);
-        let mut near: Vec<WorkerId> = near.filter(|e| e.zone == self.set.zone).map(|e| e.id).collect();
-        for _ in 0..PROBES.min(near.len()) {
+        let mut near: Vec<_> = near.filter(|e| e.zone == self.set.zone).map(|e| e.id).collect();
+        for _ in 0..probes.min(near.len()) {
             out.push(Action::Probe(near.swap_remove(self.rng.0.usize(..near.len()))));
         }
         out.push(Action::Timer { after: wait, token: SOON });
-        false
+        true
     }
 
     fn send(&mut self, id: RequestId, w: usize, out: &mut Vec<Action>) -> bool {
@@ -458,10 +459,9 @@
     /// Ends a request that gets no further attempt: a refusal where it is honest, a failure otherwise.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.answered) else { return };
-        let harmless = match self.set.classes[job.request.class.0].effect {
-            Effect::Safe | Effect::Keyed(Group::All) => true,
-            _ => job.may_have_run().next().is_none(),
-        };
+        let effect = self.set.classes[job.request.class.0].effect;
+        let harmless = matches!(effect, Effect::Safe | Effect::Keyed(Group::All));
+        let harmless = harmless || job.may_have_run().next().is_none();
         let retry_after = if harmless { self.come_back(id) } else { 0 };
         out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
         self.gone(id);
@@ -545,7 +545,7 @@
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         self.form_group();
         self.forget_silent();
-        let congested = self.set.reports == Reports::None && self.zone_wait(self.set.zone.0) > self.mean_run;
+        let congested = self.blind() && self.zone_wait(self.set.zone.0) > self.mean_run;
         let among_group = if self.group.is_empty() || congested { None } else { self.pick_among(id, true) };
         // What is held beyond the group is old news: in a full fleet all would pour jobs there. So a job
         // with patience waits for its group, and goes beyond as often as the last ones there found room.
@@ -574,8 +574,6 @@
         // A request of little worth leaves room to those of more: it may fill only a part of the slots.
         let room = 1.0 - RESERVE * (1.0 - self.value(job) / self.mean_value.max(1e-9)).max(0.0);
         let reach = self.reach(job);
-        let wait = |z| (self.zone_wait(z) - self.mean_run).max(0.0) / run;
-        let waits: Vec<f64> = (0..self.set.zones).map(wait).collect();
         let exploring = reach >= 1.0 && self.rng.0.f64() < EXPLORE;
         // The first by rank is always in reach: of a few workers none may lean far enough, and the job would
         // wait though all are idle.
@@ -594,10 +592,11 @@
             };
             // Where no report tells of queues, the waits met in a zone stand for them: a zone with too few
             // workers for its clients would else be kept full to the last while others have room.
+            if self.slots(known).is_none() {
+                in_way += (self.zone_wait(known.entry.zone.0) - self.mean_run).max(0.0) / run;
+            }
             if self.by_starts() {
                 in_way += known.meter.wait(self.now) / run;
-            } else if self.slots(known).is_none() {
-                in_way += waits.get(known.entry.zone.0).copied().unwrap_or(0.0);
             }
             let silent = known.silent(self.now) / (SILENCE * self.mean_run).max(1.0);
             let failures = known.failures.get(self.now, FORGET) + silent * silent;
@@ -682,6 +681,11 @@
         end + margin < job.aim_by as f64
     }
 
+    /// Whether no report has told of any worker's room, or none ever will.
+    fn blind(&self) -> bool {
+        self.set.reports == Reports::None || self.kind_slots.iter().all(|&s| s == 0.0)
+    }
+
     /// Whether queues are known by the words of jobs that start, and not by what answers report.
     fn by_starts(&self) -> bool {
         self.set.tells_start && self.set.reports != Reports::Answers
@@ -805,6 +809,7 @@
     }
 
     fn outcome(&mut self, id: RequestId, attempt: u32, ended: Ended, out: &mut Vec<Action>) {
+        let blind = self.blind();
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(a) = job.attempts.get_mut(attempt as usize).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(ended.outcome);
@@ -837,7 +842,7 @@
             // A sign of life, and no word on how the worker does.
             Outcome::Rejected => known.heard = self.now,
             Outcome::Full => {
-                let fulls = if self.set.reports == Reports::None { fulls } else { 0 };
+                let fulls = if blind { fulls } else { 0 };
                 job.not_before = self.now + (self.rng.0.f64() * self.mean_run / 8.0) as Nanos * fulls;
                 known.full_until = self.now + (self.mean_run / 4.0) as Nanos;
                 self.nets[class].learn(w, LONG * learned.run);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -43,6 +43,13 @@
 }
 
 impl Known {
+    /// Its process has started anew, or it is new: cold, out of step with the others, and holding none of what it held.
+    pub(crate) fn restarted(&mut self, now: Nanos, phase: f64) {
+        (self.others, self.failures, self.full_until) = (0.0, Fading::default(), 0);
+        self.told.clear();
+        self.meter.restarted();
+        (self.cold_credit, self.cold_at, self.cold_phase) = (0.0, now, phase);
+    }
     /// Brings the mean of own attempts up to now; it forgets within `span`.
     pub(crate) fn age(&mut self, now: Nanos, span: f64) {
         let keep = fade(now.saturating_sub(self.mean_at), span);
