--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -681,9 +681,9 @@
         end + margin < job.aim_by as f64
     }
 
-    /// Whether no report has told of any worker's room, or none ever will.
+    /// Whether no report has told of any worker's room, and none comes by itself.
     fn blind(&self) -> bool {
-        self.set.reports == Reports::None || self.kind_slots.iter().all(|&s| s == 0.0)
+        self.set.reports != Reports::Answers && self.kind_slots.iter().all(|&s| s == 0.0)
     }
 
     /// Whether queues are known by the words of jobs that start, and not by what answers report.
