A slow worker's pace returns to what is usual there, and counts by its warmth

Seen: by the meter a worker that was slow once, or cold, was left alone for good: no job went there that could show otherwise (usable() leaves it out for exploring too). Change: what was learned of late gives way to the long mean in 5 s, and work counts by the warmth that the worker surely has.

--- a/crates/decide/src/meter.rs
+++ b/crates/decide/src/meter.rs
@@ -2,10 +2,15 @@
 //! has at hand. Estimates alone: nothing is decided here.
 
 use crate::api::{KeyId, Nanos, RequestId};
+use crate::fading::fade;
 use std::collections::VecDeque;
 
 /// How much a job that has ended moves the pace learned of its worker.
 const PART: f64 = 0.25;
+/// How much it moves what is usual there.
+const USUAL: f64 = 0.03;
+/// What was learned of late is forgotten but for 1/e in this time, in nanoseconds, while nothing ends there.
+const RETURN: f64 = 5e9;
 /// A queue is taken to have shrunk by this part of the time since it was last seen.
 const SHRINK: f64 = 0.15;
 /// Subjects that a worker is taken to keep: those of the last own jobs that it served.
@@ -40,8 +45,9 @@
     seen: Nanos,
     /// The least time from send to start: the way there and back, and perhaps a new connection.
     least: Option<f64>,
-    /// Time of running for a unit of work; none before the first end.
-    pace: Option<f64>,
+    /// Time of running for a unit of work: of late, over a long time, and when the last one ended. None before the
+    /// first end.
+    pace: Option<(f64, f64, Nanos)>,
 }
 
 impl Meter {
@@ -82,13 +88,18 @@
         }
         let run = now.saturating_sub(out.started.filter(|_| served)?) as f64;
         match &mut self.pace {
-            Some(pace) if !out.kept => Some(run - *pace * out.work),
-            Some(pace) => {
+            Some((pace, _, at)) if !out.kept => {
+                *at = now;
+                Some(run - *pace * out.work)
+            }
+            Some((pace, usual, at)) => {
                 *pace += (run / out.work - *pace) * PART;
+                *usual += (run / out.work - *usual) * USUAL;
+                *at = now;
                 None
             }
             None => {
-                self.pace = Some(run / out.work);
+                self.pace = Some((run / out.work, run / out.work, now));
                 None
             }
         }
@@ -117,9 +128,11 @@
     }
 
     /// Time of running for a unit of work (1 before the first end): as learned, or what a job has taken already if
-    /// that is much more.
+    /// that is much more. A worker that is left alone because it was slow would never show that it no longer is, so
+    /// what was learned of late gives way to what is usual there.
     pub(crate) fn pace(&self, now: Nanos) -> f64 {
-        let Some(pace) = self.pace else { return 1.0 };
+        let Some((pace, usual, at)) = self.pace else { return 1.0 };
+        let pace = usual + (pace - usual) * fade(now.saturating_sub(at), RETURN);
         let running = self.out.iter().filter_map(|o| Some(now.saturating_sub(o.started?) as f64 / o.work));
         let most = running.fold(0.0, f64::max);
         if most > OVERDUE * pace { most } else { pace }
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -443,7 +443,8 @@
         known.attempts += 1;
         known.peak = known.peak.max(known.attempts);
         known.own += job.request.slots;
-        known.meter.sent(id, job.attempts.len() as u32 - 1, self.now, job.work, job.request.key);
+        let work = job.work / cold::warmth(&self.set.rules, known.entry.started, self.now);
+        known.meter.sent(id, job.attempts.len() as u32 - 1, self.now, work, job.request.key);
         let timeout = job.deadline.saturating_sub(2 * self.set.tick).saturating_sub(self.now).max(1);
         let worker = known.entry.id;
         let (class, slots) = (job.request.class.0, job.request.slots);
@@ -677,7 +678,8 @@
             return true;
         }
         let margin = MARGIN * self.set.classes[job.request.class.0].aim as f64;
-        let end = known.meter.end(self.now, job.work, job.request.key, self.fetch, self.mean_run * AHEAD);
+        let work = job.work / self.warmth(&known.entry, self.now);
+        let end = known.meter.end(self.now, work, job.request.key, self.fetch, self.mean_run * AHEAD);
         end + margin < job.aim_by as f64
     }
 
