A process that ends early says so beside its client's patience, not in its place

A trace of each refusal showed all workers 'late' with aims 1.5 to 3.3 s in the past: admit() clipped a request's remaining time to the end of the process after SIGTERM, and the module takes a shorter remaining time than the longest seen for a later try of a client that has waited. Ruled out: cold budgets, full workers, waits. Change: Request::within beside Request::remaining.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -278,6 +278,9 @@
     pub memory: f64,
     /// Time before the client stops waiting.
     pub remaining: Nanos,
+    /// The answer has to go out within this time, where that is sooner: the process ends, say. It tells nothing of
+    /// the client.
+    pub within: Option<Nanos>,
     /// The client repeats, where clients mark this.
     pub retry: bool,
     /// Whether it is within its tenant's share, where that is decided elsewhere.
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -345,7 +345,7 @@
         let job = Job {
             arrived: self.now,
             most: self.set.limits.max_attempts,
-            deadline: self.now.saturating_add(request.remaining),
+            deadline: self.now.saturating_add(request.within.unwrap_or(u64::MAX).min(request.remaining)),
             start_by,
             aim_by,
             work,
--- /dev/null
+++ b/crates/decide/tests/stage/mod.rs
@@ -0,0 +1,83 @@
+//! A dispatcher on a stage of its own, for tests that play a short story through the public interface.
+#![allow(dead_code)]
+
+use loomlb_decide::*;
+
+pub const MS: Nanos = 1_000_000;
+pub const S: Nanos = 1_000 * MS;
+
+/// Settings of one class, with the rest as a plain site would have it.
+pub fn settings(effect: Effect) -> Settings {
+    Settings {
+        dispatchers: 1,
+        zones: 2,
+        kinds: 1,
+        tick: MS,
+        classes: vec![Class {
+            aim: 500 * MS,
+            stretch: 2.0,
+            deadline: 5 * S,
+            worth: 1.0,
+            effect,
+            window: 2 * S,
+            ..Class::default()
+        }],
+        limits: Limits { max_attempts: 4, cancel: true, second_copies: true, ..Limits::default() },
+        rules: Rules { cold: 8 * S, cold_from: 0.3, fall_multiple: 3.0, fall: S, ask_within: 10 * S },
+        ..Settings::default()
+    }
+}
+
+/// A dispatcher with a clock, for tests that play a short story.
+pub struct Stage {
+    pub dispatcher: Dispatcher,
+    pub now: Nanos,
+    pub next: u64,
+}
+
+impl Stage {
+    pub fn new(settings: Settings, workers: &[Worker]) -> Self {
+        let mut stage = Stage { dispatcher: Dispatcher::new(settings, 1), now: S, next: 0 };
+        stage.list(ListKind::Persisted, workers);
+        stage
+    }
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.dispatcher.handle(self.now, event, &mut out);
+        out
+    }
+    pub fn list(&mut self, kind: ListKind, workers: &[Worker]) -> Vec<Action> {
+        self.event(Event::Workers { kind, entries: workers.to_vec() })
+    }
+    pub fn request(&mut self, remaining: Nanos) -> (RequestId, Vec<Action>) {
+        self.asks(remaining, |_| ())
+    }
+    /// A request of the first class, as `with` has it.
+    pub fn asks(&mut self, remaining: Nanos, with: impl Fn(&mut Request)) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let mut request = Request::new(id, ClassId(0), remaining);
+        with(&mut request);
+        (id, self.event(Event::Request(request)))
+    }
+    pub fn ends(&mut self, id: RequestId, attempt: u32, outcome: Outcome) -> Vec<Action> {
+        let closed = outcome == Outcome::Served;
+        let ended = Ended { outcome, latency: 100 * MS, closed, report: None };
+        self.event(Event::Ended { id, attempt, ended })
+    }
+}
+
+pub fn workers(n: u64) -> Vec<Worker> {
+    (1..=n).map(|i| Worker::new(WorkerId(i))).collect()
+}
+
+pub fn sent(actions: &[Action]) -> Vec<WorkerId> {
+    actions
+        .iter()
+        .filter_map(|a| if let Action::Send { worker, .. } = a { Some(*worker) } else { None })
+        .collect()
+}
+
+pub fn answers(actions: &[Action]) -> Vec<&Action> {
+    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))).collect()
+}
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -97,9 +97,9 @@
         }
     };
     let patience = offer.patience.unwrap_or(settings.deadline);
-    let remaining =
-        s.shutdown.service().answer_by().map_or(patience, |by| patience.min(by.saturating_sub(now)));
-    let deadline = now.saturating_add(remaining);
+    // A process that ends answers sooner; to the module that is no sign of a client that has waited before.
+    let within = s.shutdown.service().answer_by().map(|by| by.saturating_sub(now));
+    let deadline = now.saturating_add(within.unwrap_or(patience).min(patience));
     let (reply, answer) = oneshot::channel();
     let correlation = offer.work.correlation.clone();
     let work = Rc::new(offer.work);
@@ -133,7 +133,8 @@
         key: offer.subject.as_deref().map(key),
         slots,
         memory: offer.memory.unwrap_or(0.0),
-        remaining,
+        remaining: patience,
+        within,
         retry: offer.retry,
         in_share,
         expected: offer.expected,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -117,6 +117,7 @@
                     slots: e.slots.unwrap_or(1.0),
                     memory: e.mem.unwrap_or(0.0),
                     remaining: need(e.remaining, "remaining")?,
+                    within: None,
                     retry: e.retry,
                     in_share: None,
                     expected: e.expected,
