A keyed job whose connection broke may go to the same worker again, and needs no margin

A trace of each failure showed jobs reset within 200 ms and then kept until they were late: in a zone of three workers two were slow, and usable() left out the one that had been tried. Change: among the few workers that drop its repeats that one counts again after a reset, and a job that may have run needs no margin, as it can't be refused. Picking the best and a fair one among equals moved to state.rs.

--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -12,7 +12,7 @@
 use crate::message::{Holds, Message};
 mod carry;
 pub use crate::network::Network;
-use crate::state::{Attempt, Job, Known, Learned, Peer, Random, Repeat, Share};
+use crate::state::{Attempt, Best, Job, Known, Learned, Peer, Random, Repeat, Share};
 pub use carry::Carried;
 use rustc_hash::FxHashMap;
 
@@ -581,7 +581,7 @@
         let ranked = self.nets[c].neurons.iter().filter(|n| reach < 1.0 && self.usable(job, n.worker, near));
         let first = ranked.map(|n| self.lean(job, n.worker)).fold(0.0, f64::max);
         let reach = if reach < 1.0 { reach.max(1.0 - first) } else { reach };
-        let (mut best, mut at, mut ties, mut explored, mut seen) = (0.0, None, 0.0, None, 0.0);
+        let (mut best, mut explored) = (Best::default(), Best::default());
         for n in &self.nets[c].neurons {
             let w = n.worker;
             let known = &self.workers[w];
@@ -607,31 +607,23 @@
             }
             // Squared: one failure may be chance, while a row of them outweighs any load at the others.
             let score = n.q / ((1.0 + in_way) * (1.0 + 3.0 * failures * failures));
-            if score > best {
-                (best, at, ties) = (score, Some(w), 1.0);
-            } else if score == best {
-                ties += 1.0;
-                if self.rng.0.f64() * ties < 1.0 {
-                    at = Some(w);
-                }
-            }
+            best.offer(w, score, &mut self.rng);
             if exploring && failures < 0.1 && !(far && self.set.prices.cross_zone > 0.0) {
-                seen += 1.0;
-                if self.rng.0.f64() * seen < 1.0 {
-                    explored = Some(w);
-                }
+                explored.offer(w, 1.0, &mut self.rng);
             }
         }
-        explored.or(at)
+        explored.at.or(best.at)
     }
 
     /// Whether a worker may have the job, as far as rules and its state go; room there is another matter.
     fn usable(&self, job: &Job, w: usize, near: bool) -> bool {
-        let known = &self.workers[w];
+        let (known, repeat) = (&self.workers[w], self.repeat(job));
+        // Among the few that drop its repeats the one whose connection broke is as good as any.
+        let again = |a: &Attempt| repeat != Repeat::Anywhere && a.outcome == Some(Outcome::Reset);
         (known.near || !near)
             && known.full_until <= self.now
-            && self.repeat(job).allows(&known.entry)
-            && job.attempts.iter().all(|a| a.worker != w)
+            && repeat.allows(&known.entry)
+            && job.attempts.iter().all(|a| a.worker != w || again(a))
             && self.in_time(job, known)
             && self
                 .cold_cost(w, job.request.class.0, job.request.slots)
@@ -672,12 +664,14 @@
     }
 
     /// Whether a job sent to a worker now likely ends within its aim there. Only start words and hints tell:
-    /// where answers tell of room, or without a hint, a worker with room does.
+    /// where answers tell of room, or without a hint, a worker with room does. One that may have run has few
+    /// workers left, and can't be refused: it needs no margin.
     fn in_time(&self, job: &Job, known: &Known) -> bool {
         if !self.by_starts() || job.request.expected.is_none() {
             return true;
         }
-        let margin = MARGIN * self.set.classes[job.request.class.0].aim as f64;
+        let margin = if job.may_have_run().next().is_some() { 0.0 } else { MARGIN };
+        let margin = margin * self.set.classes[job.request.class.0].aim as f64;
         let work = job.work / self.warmth(&known.entry, self.now);
         let end = known.meter.end(self.now, work, job.request.key, self.fetch, self.mean_run * AHEAD);
         end + margin < job.aim_by as f64
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -242,6 +242,28 @@
     }
 }
 
+/// The highest of several scores above 0; a fair one among equals.
+#[derive(Debug, Default)]
+pub(crate) struct Best {
+    score: f64,
+    pub(crate) at: Option<usize>,
+    equals: f64,
+}
+
+impl Best {
+    /// One more.
+    pub(crate) fn offer(&mut self, at: usize, score: f64, rng: &mut Random) {
+        if score > self.score {
+            (self.score, self.at, self.equals) = (score, Some(at), 1.0);
+        } else if score == self.score {
+            self.equals += 1.0;
+            if rng.0.f64() * self.equals < 1.0 {
+                self.at = Some(at);
+            }
+        }
+    }
+}
+
 /// Where a request may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Repeat {
