--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -157,6 +157,9 @@
         ("X-Time-Left", format!("{:.3}", left as f64 / 1e9)),
         ("X-Facts", format!("slots={}", request.slots)),
     ];
+    if let Some(hint) = request.hint {
+        headers.push(("X-Weight-Hint", (hint / 1000).to_string()));
+    }
     if let Some(tenant) = request.tenant {
         headers.push(("X-Account", world.day.tenants[tenant].name.clone()));
     }
--- a/crates/emulator/src/stage.rs
+++ b/crates/emulator/src/stage.rs
@@ -6,6 +6,7 @@
 use loomlb_decide::Nanos;
 use loomlb_model::clients::{Arrivals, Request};
 use loomlb_model::day::Day;
+use loomlb_model::day::Effect;
 use loomlb_model::figures::{Collector, Figures};
 use loomlb_model::referee::{Breach, Seen};
 use loomlb_model::seed::Stream;
@@ -156,6 +157,7 @@
     pub(crate) path: String,
     pub(crate) body: String,
     pub(crate) key: Option<String>,
+    pub(crate) subject: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -408,7 +410,8 @@
 /// A request's worker and class as the clients think of it.
 pub(crate) fn sent(day: &Day, request: &Request) -> Sent {
     let class = &day.classes[request.class];
-    let key = (class.effect == loomlb_model::day::Effect::Keyed).then(|| format!("key-{:x}", request.number));
+    let keyed = matches!(class.effect, Effect::Keyed | Effect::KeyedByZone);
+    let key = keyed.then(|| format!("key-{:x}", request.number));
     Sent {
         class: request.class,
         slots: request.slots,
@@ -418,5 +421,6 @@
             .map_or_else(|| format!("/{}", class.name), |s| format!("/{}/subject-{s}", class.name)),
         body: format!("petition {} of {}", request.number, class.name),
         key,
+        subject: request.subject,
     }
 }
--- a/crates/emulator/src/workers.rs
+++ b/crates/emulator/src/workers.rs
@@ -171,8 +171,8 @@
             return Some(wire::response(400, "no client sent this id"));
         }
     };
-    let attempt =
-        Attempt { request, scheduler: s, slots: known.slots, work: known.work, class: known.class, sent };
+    let (slots, work, class, subject) = (known.slots, known.work, known.class, known.subject);
+    let attempt = Attempt { request, scheduler: s, slots, work, class, subject, sent };
     let reply = stage.world.borrow_mut().arrive(stage.now(), w, &attempt);
     stage.stir();
     let report = stage.world.borrow_mut().report(stage.now(), w);
@@ -237,7 +237,8 @@
     let work = world.day.classes[class].work_ms * 1e6;
     world.referee.guest(request, class);
     drop(world);
-    let sent = Sent { class, slots: 1, work, path: path.into(), body: String::new(), key: None };
+    let sent =
+        Sent { class, slots: 1, work, path: path.into(), body: String::new(), key: None, subject: None };
     stage.guests.borrow_mut().insert(request, id.to_string());
     Some((request, sent))
 }
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -3,7 +3,7 @@
 
 use loomlb_decide::{
     Action, Class, Effect, Ended, Event, Group, ListKind, Nanos, Outcome, Request, RequestId, Settings,
-    Worker, WorkerId, WorkerState,
+    Worker, WorkerId, WorkerState, ZoneId,
 };
 use loomlb_model::simulate::Decider;
 use rustc_hash::FxHashMap;
@@ -38,6 +38,7 @@
 struct Out {
     worker: WorkerId,
     cell: u64,
+    zone: ZoneId,
     sent: Nanos,
     outcome: Option<Outcome>,
 }
@@ -91,7 +92,11 @@
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed(group) => {
-                let near = group == Group::All || worker.cell.0 == first.cell;
+                let near = match group {
+                    Group::All => true,
+                    Group::Zone => worker.zone == first.zone,
+                    Group::Cell => worker.cell.0 == first.cell,
+                };
                 near && self.now + 4 * self.set.tick < first.sent + class.window
             }
         }
@@ -127,12 +132,12 @@
             }
         };
         let Some(chosen) = chosen else { return self.end(id, out) };
-        let (worker, cell) = (chosen.id, chosen.cell.0);
+        let (worker, cell, zone) = (chosen.id, chosen.cell.0, chosen.zone);
         (self.rng, self.turn) = (rng, self.turn + 1);
         let timeout = last - self.now;
         *self.load.entry(worker).or_default() += 1;
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.attempts.push(Out { worker, cell, sent: self.now, outcome: None });
+            job.attempts.push(Out { worker, cell, zone, sent: self.now, outcome: None });
         }
         out.push(Action::Send { id, worker, timeout });
     }
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -34,6 +34,10 @@
     "herd",
     "zone",
     "join",
+    "orders-calm",
+    "orders-overload",
+    "orders-cut",
+    "orders-burst",
     "large",
     "huge",
 ];
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -26,6 +26,8 @@
     pub slots: u32,
     /// Work of its job, in nanoseconds of a yardstick core.
     pub work: f64,
+    /// What its client guesses of its work, in nanoseconds of a yardstick core.
+    pub hint: Option<u64>,
     /// Its client leaves after this time, in nanoseconds.
     pub patience: Nanos,
     /// Its client reads answers slowly: so many nanoseconds pass before the last byte is there.
@@ -42,6 +44,9 @@
     work: Stream,
     subject: Stream,
     habits: Stream,
+    hints: Stream,
+    /// What falls on the subjects up to each, as a part of all; empty where they are all alike.
+    popular: Vec<f64>,
     rate: f64,
     at: f64,
     number: u64,
@@ -75,6 +80,8 @@
             work: streams.named("work"),
             subject: streams.named("subjects"),
             habits: streams.named("habits"),
+            hints: streams.named("hints"),
+            popular: popular(day),
             rate,
             at: 0.0,
             number: 0,
@@ -133,6 +140,14 @@
         within
     }
 
+    fn about(&mut self, subjects: usize) -> u64 {
+        if self.popular.is_empty() {
+            return self.subject.below(subjects) as u64;
+        }
+        let at = self.subject.unit();
+        self.popular.partition_point(|p| *p < at).min(subjects - 1) as u64
+    }
+
     /// The next request; none once the day's time is over.
     pub fn next(&mut self, day: &Day) -> Option<Request> {
         let (rate, _, _) = self.rate_at(day, self.at);
@@ -177,9 +192,10 @@
             at: (self.at * 1e9) as Nanos,
             class,
             tenant,
-            subject: (day.load.subjects > 0).then(|| self.subject.below(day.load.subjects) as u64),
+            subject: (day.load.subjects > 0).then(|| self.about(day.load.subjects)),
             slots,
             work,
+            hint: day.load.hints.map(|cv| (work * self.hints.log_normal(cv)) as u64),
             patience: patience as Nanos,
             slow: read,
             in_share,
@@ -187,6 +203,22 @@
     }
 }
 
+/// What falls on a day's subjects up to each by Zipf's law, as a part of all.
+fn popular(day: &Day) -> Vec<f64> {
+    if day.load.skew == 0.0 {
+        return Vec::new();
+    }
+    let weights = (1..=day.load.subjects).map(|i| (i as f64).powf(-day.load.skew));
+    let sums: Vec<f64> = weights
+        .scan(0.0, |sum, w| {
+            *sum += w;
+            Some(*sum)
+        })
+        .collect();
+    let all = sums.last().copied().unwrap_or(1.0);
+    sums.into_iter().map(|s| s / all).collect()
+}
+
 /// Cores that a job of a class keeps busy on average: a job of several slots keeps several of them.
 fn mean_cores(slots: &[f64]) -> f64 {
     let sum: f64 = slots.iter().sum();
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -78,6 +78,12 @@
     /// Workers of one cell: they share the keys that they have seen.
     #[serde(default = "six")]
     pub cell_size: usize,
+    /// Zones; workers and schedulers are dealt to them in turn.
+    #[serde(default = "one_zone")]
+    pub zones: usize,
+    /// What workers keep at hand of the subjects of their jobs; without it a job needs nothing.
+    #[serde(default)]
+    pub keeps: Option<Keeps>,
     /// How they serve their queues.
     #[serde(default)]
     pub queue: Queue,
@@ -89,6 +95,19 @@
 fn six() -> usize {
     6
 }
+fn one_zone() -> usize {
+    1
+}
+
+/// What workers keep at hand: the data of the subjects that they served last.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keeps {
+    /// Subjects for each slot.
+    pub per_slot: f64,
+    /// What a job works more where its subject's data is not at hand, as a part of its class's mean work.
+    pub fetch: f64,
+}
 
 /// How workers serve their queues.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
@@ -224,6 +243,12 @@
     /// Different subjects of requests; 0 for requests without one.
     #[serde(default = "subjects")]
     pub subjects: usize,
+    /// How unevenly requests fall on them: the exponent of a Zipf law; 0 for evenly.
+    #[serde(default)]
+    pub skew: f64,
+    /// Requests come with a hint of their work, off by this coefficient of variation; without it they come with none.
+    #[serde(default)]
+    pub hints: Option<f64>,
 }
 
 fn subjects() -> usize {
@@ -281,6 +306,8 @@
 pub struct Network {
     /// One way between schedulers and workers, in milliseconds.
     pub one_way_ms: f64,
+    /// One way between schedulers and workers of another zone, in milliseconds.
+    pub cross_ms: f64,
     /// One way between clients and schedulers, in milliseconds.
     pub client_ms: f64,
     /// Coefficient of variation of delays.
@@ -303,6 +330,7 @@
     fn default() -> Self {
         Network {
             one_way_ms: 0.25,
+            cross_ms: 8.0,
             client_ms: 0.7,
             jitter: 0.2,
             peer_ms: [3.3, 33.0],
@@ -321,6 +349,8 @@
 pub struct Reports {
     /// Reports come with the ends of attempts.
     pub on: bool,
+    /// They come to those that ask for them, and not with the ends of attempts.
+    pub by_probe: bool,
     /// Time between two measurements, in milliseconds.
     pub period_ms: f64,
     /// Age of a measurement before it is told, in milliseconds.
@@ -331,7 +361,7 @@
 
 impl Default for Reports {
     fn default() -> Self {
-        Reports { on: true, period_ms: 1000.0, delay_ms: 300.0, noise: 0.03 }
+        Reports { on: true, by_probe: false, period_ms: 1000.0, delay_ms: 300.0, noise: 0.03 }
     }
 }
 
@@ -385,6 +415,10 @@
     pub answer_grace_ms: f64,
     /// Worth of a request beyond its tenant's share, as a part of the usual.
     pub over_share_worth: f64,
+    /// The price of a probe, and of an attempt that crosses zones, in the worth of the mean request.
+    pub probe_price: f64,
+    /// See `probe_price`.
+    pub cross_price: f64,
     /// Time between workers' notes of progress, in milliseconds; 0 for none.
     pub progress_ms: f64,
 }
@@ -400,6 +434,8 @@
             fall_ms: 1500.0,
             answer_grace_ms: 50.0,
             over_share_worth: 0.2,
+            probe_price: 0.002,
+            cross_price: 0.0,
             progress_ms: 1000.0,
         }
     }
@@ -454,6 +490,8 @@
     Safe,
     /// The workers of a cell know its key again.
     Keyed,
+    /// The workers of a zone do.
+    KeyedByZone,
     /// Never twice.
     Unsafe,
 }
@@ -558,6 +596,8 @@
     DiscoveryMoved,
     /// A scheduler and a part of the workers, or two schedulers, cannot reach each other, and nothing is signalled.
     Partition,
+    /// A zone is cut off from all others, and nothing is signalled; within it everything gets through.
+    ZoneCut,
     /// A `part` of the clients reads its answers slowly.
     SlowReader,
     /// A `part` of the connections to workers is stuck: what is written to it is never read, and nothing comes back.
@@ -566,7 +606,7 @@
 
 impl TroubleKind {
     /// All of them.
-    pub const ALL: [TroubleKind; 16] = [
+    pub const ALL: [TroubleKind; 17] = [
         TroubleKind::Vanish,
         TroubleKind::Crash,
         TroubleKind::FastErrors,
@@ -581,6 +621,7 @@
         TroubleKind::DiscoveryDown,
         TroubleKind::DiscoveryMoved,
         TroubleKind::Partition,
+        TroubleKind::ZoneCut,
         TroubleKind::SlowReader,
         TroubleKind::StuckConnection,
     ];
@@ -602,6 +643,7 @@
             TroubleKind::DiscoveryDown => "discovery_down",
             TroubleKind::DiscoveryMoved => "discovery_moved",
             TroubleKind::Partition => "partition",
+            TroubleKind::ZoneCut => "zone_cut",
             TroubleKind::SlowReader => "slow_reader",
             TroubleKind::StuckConnection => "stuck_connection",
         }
@@ -643,6 +685,13 @@
         let f = &self.fleet;
         need("fleet.workers", (1..=100_000).contains(&f.workers), "a fleet has 1 to 100000 workers");
         need("fleet.cell_size", f.cell_size > 0, "a cell has one worker at least");
+        need("fleet.zones", (1..=64).contains(&f.zones), "1 to 64 zones are possible");
+        if let Some(k) = f.keeps {
+            need("fleet.keeps.per_slot", time(k.per_slot), "0 or more");
+            need("fleet.keeps.fetch", time(k.fetch), "0 or more");
+        }
+        need("load.skew", time(self.load.skew), "0 or more");
+        need("load.hints", self.load.hints.is_none_or(time), "0 or more");
         need("fleet.kind", !f.kinds.is_empty() && f.kinds.len() <= 64, "1 to 64 kinds of machine are needed");
         for (i, k) in f.kinds.iter().enumerate() {
             let key = |name: &str| format!("fleet.kind[{i}].{name}");
@@ -682,6 +731,9 @@
         let n = &self.network;
         for (key, value) in [
             ("network.one_way_ms", n.one_way_ms),
+            ("network.cross_ms", n.cross_ms),
+            ("terms.probe_price", self.terms.probe_price),
+            ("terms.cross_price", self.terms.cross_price),
             ("network.client_ms", n.client_ms),
             ("network.jitter", n.jitter),
             ("network.handshake_ms", n.handshake_ms),
--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -326,13 +326,13 @@
                     request,
                     format!("sent again, to worker {worker}, though worker {} may have run it", first.worker),
                 ),
-                Effect::Keyed if cell != first.cell => self.breach(
+                Effect::Keyed | Effect::KeyedByZone if cell != first.cell => self.breach(
                     Rule::KeyedRepeat,
                     at,
                     request,
                     format!("repeated in cell {cell}, first sent to cell {}", first.cell),
                 ),
-                Effect::Keyed if sent > first.at + window => {
+                Effect::Keyed | Effect::KeyedByZone if sent > first.at + window => {
                     self.breach(
                         Rule::KeyedRepeat,
                         at,
@@ -340,7 +340,7 @@
                         "repeated after the window of its key".into(),
                     );
                 }
-                Effect::Keyed => {}
+                Effect::Keyed | Effect::KeyedByZone => {}
             }
         }
         if open && !copies {
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -6,8 +6,10 @@
 use loomlb_decide::{CellId, Settings, Worker, WorkerId, WorkerState};
 use serde_json::{Value, json};
 
-/// The one zone of the model.
-pub const ZONE: &str = "here";
+/// The name of a zone: the one of a fleet in one place, or one of several by its number.
+pub fn zone(day: &Day, number: usize) -> String {
+    if day.fleet.zones <= 1 { "here".into() } else { format!("here-{}", number % day.fleet.zones) }
+}
 
 fn ns(ms: f64) -> u64 {
     (ms * 1e6) as u64
@@ -22,6 +24,7 @@
             let (effect, group) = match c.effect {
                 Effect::Safe => ("idempotent", "all"),
                 Effect::Keyed => ("deduplicated", "cell"),
+                Effect::KeyedByZone => ("deduplicated", "zone"),
                 Effect::Unsafe => ("at_most_once", "all"),
             };
             json!({"name": c.name, "aim": ns(c.aim_ms), "give_up": ns(c.deadline_ms), "worth": c.worth, "late_worth": 0.0,
@@ -38,17 +41,23 @@
     let kinds: Vec<&str> = day.fleet.kinds.iter().map(|k| k.name.as_str()).collect();
     let coldest = day.fleet.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min);
     let cold = day.fleet.kinds.iter().map(|k| k.cold_s).fold(0.0, f64::max);
+    let zones: Vec<String> = (0..day.fleet.zones).map(|z| zone(day, z)).collect();
+    let how = match (day.reports.on, day.reports.by_probe) {
+        (false, _) => "off",
+        (true, false) => "inline",
+        (true, true) => "on_probe",
+    };
     let order = match day.fleet.queue {
         Queue::Fifo => "fifo",
         Queue::Backfill => "backfill",
         Queue::Priority => "priority",
     };
     json!({
-        "balancers": day.schedulers.count, "rank": scheduler, "my_zone": ZONE, "zones": [ZONE], "kinds": kinds,
+        "balancers": day.schedulers.count, "rank": scheduler, "my_zone": zone(day, scheduler), "zones": zones, "kinds": kinds,
         "classes": classes, "tenants": tenants, "over_share_worth": day.terms.over_share_worth, "worth_by": "work",
         "registry_mode": if day.discovery.mode == Mode::Poll { "subscribe" } else { "automatic" },
         "weights": if day.discovery.weights_ms > 0.0 { "live" } else { "off" }, "tick": ns(day.tick_ms),
-        "load_report": {"how": if day.reports.on { "inline" } else { "off" }, "fields": ["rif", "rate", "x0"]},
+        "load_report": {"how": how, "fields": ["rif", "rate", "x0"]},
         "ceilings": {
             "cancel": true, "dial_timeout": ns(day.network.dial_ms), "keepalive": ns(day.network.idle_s * 1e3),
             "max_attempts": day.terms.max_attempts, "max_open": 20_000, "streams_per_conn": 1,
@@ -61,7 +70,8 @@
             "must_ask_in": 10_000_000_000u64, "overload_factor": day.terms.fall_multiple,
             "overload_for": ns(day.terms.fall_ms), "grace_to_answer": ns(day.terms.answer_grace_ms),
         },
-        "penalties": {"waste": 0.02, "late_fail": 0.064, "peer": 0.0086, "probe": 0.002, "handshake": 0.02, "cross_zone": 0.0},
+        "penalties": {"waste": 0.02, "late_fail": 0.064, "peer": 0.0086, "probe": day.terms.probe_price,
+            "handshake": 0.02, "cross_zone": day.terms.cross_price},
         "extra": {
             "class_kind": vec![-1; day.classes.len()],
             "class_stretch": day.classes.iter().map(|c| c.stretch).collect::<Vec<f64>>(),
@@ -93,7 +103,11 @@
         started: entry.born,
         ..Worker::new(id)
     };
-    names.worker(ZONE, &world.day.fleet.kinds[world.kind(entry.worker)].name, worker)
+    names.worker(
+        &zone(&world.day, entry.worker),
+        &world.day.fleet.kinds[world.kind(entry.worker)].name,
+        worker,
+    )
 }
 
 /// An entry of the list in discovery's form. `epoch_ms` is the Unix time of the day's start, in milliseconds.
@@ -104,7 +118,7 @@
         Health::Left => "left",
     };
     let born = if entry.born == 0 { 0 } else { epoch_ms + entry.born / 1_000_000 };
-    json!({"host": World::name(entry.worker), "dial": dial, "site": ZONE,
+    json!({"host": World::name(entry.worker), "dial": dial, "site": zone(&world.day, entry.worker),
         "class": world.day.fleet.kinds[world.kind(entry.worker)].name, "block": world.cell(entry.worker),
         "health": health, "share": entry.weight, "born_ms": born})
 }
--- a/crates/model/src/simulate.rs
+++ b/crates/model/src/simulate.rs
@@ -282,7 +282,14 @@
     fn delay(&mut self, mean_ms: f64) -> Nanos {
         ms(mean_ms * self.delays.log_normal(self.world.day.network.jitter)).max(1)
     }
-    fn way_to_worker(&mut self) -> Nanos {
+    /// One way between a scheduler and a worker.
+    fn way(&mut self, s: usize, w: usize) -> Nanos {
+        let network = &self.world.day.network;
+        let near = self.world.zone(s) == self.world.zone(w);
+        self.delay(if near { network.one_way_ms } else { network.cross_ms })
+    }
+    /// One way to discovery, which is near to all.
+    fn way_to_list(&mut self) -> Nanos {
         self.delay(self.world.day.network.one_way_ms)
     }
 
@@ -434,7 +441,8 @@
             }
             Action::Probe(worker) => {
                 self.mark(37, &[me, worker.0]);
-                let back = self.way_to_worker() + self.way_to_worker();
+                let w = worker.0 as usize - 1;
+                let back = self.way(s, w) + self.way(s, w);
                 let up = !self.world.silent(worker.0 as usize - 1);
                 let after = if up { back } else { ms(self.world.day.network.dial_ms) };
                 self.push(self.now + after, Due::Probed(s, run, worker.0 as usize - 1, up));
@@ -448,7 +456,7 @@
             }
             Action::Watch => {
                 self.mark(39, &[me]);
-                let back = self.way_to_worker() + self.way_to_worker();
+                let back = self.way_to_list() + self.way_to_list();
                 self.push(self.now + back, Due::List(s, run));
             }
             Action::Tell(to, bytes) => {
@@ -503,14 +511,14 @@
             if let Some(f) = self.forward_of(s, id, n) {
                 f.up = true;
             }
-            let way = self.way_to_worker();
+            let way = self.way(s, w);
             return self.push(now + way, Due::Arrive(s, run, id, n));
         }
         if idle == Some(false) {
             let old = self.nodes[s].pool.remove(&w).map_or(0, |p| p.len()) + 1;
             (0..old).for_each(|_| self.world.disconnect(w));
         }
-        let way = self.way_to_worker() + self.way_to_worker() + self.way_to_worker();
+        let way = self.way(s, w) + self.way(s, w) + self.way(s, w);
         match self.world.connect(now, s, w) {
             Dial::Up => {
                 if let Some(f) = self.forward_of(s, id, n) {
@@ -540,9 +548,10 @@
             return self.world.disconnect(w);
         }
         let (slots, work, class) = (flow.slots, flow.work, flow.class);
-        let attempt = Attempt { request: id, scheduler: s, slots, work, class, sent };
+        let subject = self.clients.get(&(id >> 4)).and_then(|c| c.request.subject);
+        let attempt = Attempt { request: id, scheduler: s, slots, work, class, subject, sent };
         let reply = self.world.arrive(self.now, w, &attempt);
-        let way = self.way_to_worker();
+        let way = self.way(s, w);
         match reply {
             Reply::Taken(job) => {
                 if let Some(f) = self.forward_of(s, id, n) {
@@ -601,8 +610,9 @@
     }
 
     fn give_up(&mut self, s: usize, id: u64, n: u32, why: Outcome) {
-        let way = self.way_to_worker();
-        let Some(f) = self.forward_of(s, id, n).filter(|f| !f.ended) else { return };
+        let Some(w) = self.forward_of(s, id, n).filter(|f| !f.ended).map(|f| f.worker) else { return };
+        let way = self.way(s, w);
+        let Some(f) = self.forward_of(s, id, n) else { return };
         let outcome = match (f.up, why) {
             (false, Outcome::Timeout) => Outcome::NoConnection,
             (false, _) => Outcome::NotSent,
@@ -702,7 +712,7 @@
                     return;
                 }
                 let at = self.words.insert((request, job, word, report.map(told)));
-                let (way, run) = (self.way_to_worker(), self.nodes[s].run);
+                let (way, run) = (self.way(s, worker), self.nodes[s].run);
                 self.push(self.now + way, Due::Word(s, run, at));
             }
             Deed::List { scheduler: s, entries, .. } => {
@@ -849,8 +859,10 @@
         let r = &client.request;
         let class_end = r.at + ms(self.world.day.classes[r.class].deadline_ms);
         let by = self.nodes[s].ending.map_or(class_end, |at| class_end.min(self.ends_by(at) - 200_000_000));
-        let remaining = by.saturating_sub(now);
+        // A process that ends answers sooner, which says nothing of its client.
+        let (remaining, within) = (class_end.saturating_sub(now), by.saturating_sub(now));
         let (class, tenant, slots, work, subject) = (r.class, r.tenant, r.slots, r.work, r.subject);
+        let expected = r.hint;
         self.world.referee.taken(now, id, s, class, by);
         let (mut holding, mut in_share) = (None, None);
         let mean = self.nodes[s].mean[class];
@@ -879,6 +891,8 @@
             key: subject.map(|s| key(&format!("s{s}"))),
             slots: f64::from(slots),
             remaining,
+            within: Some(within),
+            expected,
             ..Asked::default()
         };
         self.nodes[s].flows.insert(
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -81,6 +81,8 @@
     pub work: f64,
     /// Its class.
     pub class: usize,
+    /// What it is about.
+    pub subject: Option<u64>,
     /// When its first byte left the scheduler.
     pub sent: Nanos,
 }
@@ -205,6 +207,10 @@
     pub moved: u64,
     /// Messages lost in a partition.
     pub cut: u64,
+    /// Messages lost at the border of a zone that is cut off.
+    pub zone_cut: u64,
+    /// Jobs whose subject's data had to be fetched.
+    pub fetched: u64,
     /// Clients that read slowly.
     pub slow_readers: u64,
     /// Attempts written to a connection that nobody reads.
@@ -243,6 +249,7 @@
             TroubleKind::DiscoveryDown => self.list_held_back,
             TroubleKind::DiscoveryMoved => self.moved,
             TroubleKind::Partition => self.cut,
+            TroubleKind::ZoneCut => self.zone_cut,
             TroubleKind::SlowReader => self.slow_readers,
             TroubleKind::StuckConnection => self.stuck,
         }
@@ -264,6 +271,8 @@
     doomed: Option<Nanos>,
     error_rate: f64,
     connections: usize,
+    /// The subjects that it served last, the oldest first.
+    kept: VecDeque<u64>,
     reports: VecDeque<(Nanos, Report)>,
     ended: u64,
     /// The time of its earliest entry in the queue of events.
@@ -326,6 +335,8 @@
     late: Nanos,
     stuck: f64,
     cut: FxHashSet<(usize, usize)>,
+    /// Zones that are cut off from all others.
+    cut_zones: FxHashSet<usize>,
     cut_peers: FxHashSet<usize>,
 }
 
@@ -373,6 +384,7 @@
                     doomed: None,
                     error_rate: k.error_rate,
                     connections: 0,
+                    kept: VecDeque::new(),
                     reports: VecDeque::new(),
                     ended: 0,
                     queued: 0,
@@ -400,7 +412,10 @@
             pushed: 0,
             deeds: VecDeque::new(),
             said: Vec::new(),
-            cells: vec![FxHashMap::default(); day.fleet.workers.div_ceil(day.fleet.cell_size)],
+            cells: vec![
+                FxHashMap::default();
+                day.fleet.workers.div_ceil(day.fleet.cell_size).max(day.fleet.zones)
+            ],
             rng: streams.named("errors"),
             news_rng: streams.named("news"),
             report_rng: streams.named("reports"),
@@ -414,6 +429,7 @@
             late: 0,
             stuck: 0.0,
             cut: FxHashSet::default(),
+            cut_zones: FxHashSet::default(),
             cut_peers: FxHashSet::default(),
             streams,
             day,
@@ -484,13 +500,29 @@
     pub fn reachable(&mut self, scheduler: usize, worker: usize) -> bool {
         let cut = self.cut.contains(&(scheduler, worker));
         self.counters.cut += u64::from(cut);
-        !cut && !self.stations[worker].silent
+        !cut && self.zones_meet(scheduler, worker) && !self.stations[worker].silent
+    }
+    /// Whether messages get through between the zones of two machines, by their numbers.
+    fn zones_meet(&mut self, a: usize, b: usize) -> bool {
+        let (a, b) = (self.zone(a), self.zone(b));
+        let cut = a != b && (self.cut_zones.contains(&a) || self.cut_zones.contains(&b));
+        self.counters.zone_cut += u64::from(cut);
+        !cut
+    }
+    /// The zone of a worker or a scheduler by its number.
+    pub fn zone(&self, machine: usize) -> usize {
+        machine % self.day.fleet.zones.max(1)
+    }
+    /// The workers that drop repeats of a class's requests beside one: the number of its cell, or of its zone.
+    fn group(&self, class: usize, w: usize) -> usize {
+        let by_zone = |c: &crate::day::Class| c.effect == crate::day::Effect::KeyedByZone;
+        if self.day.classes.get(class).is_some_and(by_zone) { self.zone(w) } else { self.stations[w].cell }
     }
     /// Whether words get through between two schedulers.
     pub fn peers_reachable(&mut self, a: usize, b: usize) -> bool {
         let cut = self.cut_peers.contains(&a) || self.cut_peers.contains(&b);
         self.counters.cut += u64::from(cut);
-        !cut
+        !cut && self.zones_meet(a, b)
     }
     /// Whether a worker's machine answers nothing.
     pub fn silent(&self, worker: usize) -> bool {
@@ -634,7 +666,7 @@
         }
         self.counters.probes += 1;
         self.burden(now, w, self.day.network.probe_ms);
-        Some(self.report(now, w).unwrap_or_default())
+        Some(self.load(now, w).unwrap_or_default())
     }
 
     /// An attempt reaches a worker in full.
@@ -656,7 +688,7 @@
         // One that has never been named, or has been taken off, counts as told of its going.
         let drained = told.filter(|(e, _)| e.health != Health::Active).map(|(_, at)| *at);
         let informed = told.is_some_and(|(e, _)| e.born == self.stations[w].born);
-        let cell = self.stations[w].cell;
+        let cell = self.group(attempt.class, w);
         self.referee.received(now, attempt.sent, request, w, cell, job, drained);
         if let Some(back) = self.stations[w].doomed.take() {
             self.counters.crashed += 1;
@@ -689,7 +721,19 @@
         let priority = self.day.classes.get(attempt.class).map_or(0, |c| c.priority);
         let slots = attempt.slots.min(station.worker.spec.slots);
         // A repeat that its cell knows again costs little: the first run's result is handed out.
-        let work = if known_again { 1e6 } else { attempt.work };
+        let mut work = if known_again { 1e6 } else { attempt.work };
+        if let (Some(keeps), Some(subject), false) = (self.day.fleet.keeps, attempt.subject, known_again) {
+            let at = station.kept.iter().position(|s| *s == subject);
+            if at.and_then(|at| station.kept.remove(at)).is_none() {
+                work += keeps.fetch * mean;
+                self.counters.fetched += 1;
+            }
+            station.kept.push_back(subject);
+            let most = (keeps.per_slot * f64::from(station.worker.spec.slots)).round() as usize;
+            while station.kept.len() > most {
+                station.kept.pop_front();
+            }
+        }
         let mut said = std::mem::take(&mut self.said);
         let work = Job { id: job, slots, work, priority };
         let taken = station.health == Health::Active && station.worker.offer(work, &mut said);
@@ -708,7 +752,7 @@
 
     fn known_again(&mut self, now: Nanos, attempt: &Attempt, cell: usize) -> bool {
         let Some(class) = self.day.classes.get(attempt.class) else { return false };
-        if class.effect != crate::day::Effect::Keyed {
+        if !matches!(class.effect, crate::day::Effect::Keyed | crate::day::Effect::KeyedByZone) {
             return false;
         }
         let window = ms(class.window_ms);
@@ -789,8 +833,13 @@
         self.push(at + period.max(1), Due::Measure(w));
     }
 
-    /// The load that a worker reports now.
+    /// The load that a worker reports now with the end of an attempt.
     pub fn report(&mut self, now: Nanos, w: usize) -> Option<Report> {
+        if self.day.reports.by_probe { None } else { self.load(now, w) }
+    }
+
+    /// The load that a worker knows of itself now, as late as it tells it.
+    fn load(&mut self, now: Nanos, w: usize) -> Option<Report> {
         if !self.day.reports.on {
             return None;
         }
@@ -878,6 +927,7 @@
             | TroubleKind::Pauses
             | TroubleKind::Drain
             | TroubleKind::Partition => rng.some(t.part, workers),
+            TroubleKind::ZoneCut => vec![rng.below(self.day.fleet.zones)],
             TroubleKind::RollingRestart => (0..workers).collect(),
             TroubleKind::SchedulerKill | TroubleKind::SchedulerTerm => rng.some(t.part, schedulers),
             _ => Vec::new(),
@@ -943,6 +993,10 @@
                 }
                 self.push(end, Due::End(i));
             }
+            TroubleKind::ZoneCut => {
+                self.cut_zones.extend(chosen);
+                self.push(end, Due::End(i));
+            }
             TroubleKind::StuckConnection => {
                 self.stuck = t.part;
                 self.push(end, Due::End(i));
@@ -1004,6 +1058,7 @@
                 self.cut.retain(|(_, w)| !chosen.contains(w));
                 self.cut_peers.clear();
             }
+            TroubleKind::ZoneCut => self.cut_zones.clear(),
             TroubleKind::StuckConnection => self.stuck = 0.0,
             _ => {}
         }
