--- a/crates/decide/src/meter.rs
+++ b/crates/decide/src/meter.rs
@@ -121,17 +121,25 @@
 
     /// When a job of so much work that is sent now will end, in nanoseconds of the clock. `fetch` is how much longer it
     /// runs where its subject's data is not at hand, `ahead` what each own job that has not begun adds to its wait.
-    pub(crate) fn end(&self, now: Nanos, work: f64, key: Option<KeyId>, fetch: f64, ahead: f64) -> f64 {
+    pub(crate) fn end(
+        &self,
+        now: Nanos,
+        work: f64,
+        like: f64,
+        key: Option<KeyId>,
+        fetch: f64,
+        ahead: f64,
+    ) -> f64 {
         let waiting = self.out.iter().filter(|o| o.started.is_none()).count() as f64;
         let fetch = if self.keeps(key) { 0.0 } else { fetch.max(0.0) };
-        now as f64 + self.wait(now) + waiting * ahead + work * self.pace(now) + fetch
+        now as f64 + self.wait(now) + waiting * ahead + work * self.pace(now, like) + fetch
     }
 
-    /// Time of running for a unit of work (1 before the first end): as learned, or what a job has taken already if
+    /// Time of running for a unit of work (that of its `like` before the first end, or 1): as learned, or what a job has taken already if
     /// that is much more. A worker that is left alone because it was slow would never show that it no longer is, so
     /// what was learned of late gives way to what is usual there.
-    pub(crate) fn pace(&self, now: Nanos) -> f64 {
-        let Some((pace, usual, at)) = self.pace else { return 1.0 };
+    pub(crate) fn pace(&self, now: Nanos, like: f64) -> f64 {
+        let Some((pace, usual, at)) = self.pace else { return if like > 0.0 { like } else { 1.0 } };
         let pace = usual + (pace - usual) * fade(now.saturating_sub(at), RETURN);
         let running = self.out.iter().filter_map(|o| Some(now.saturating_sub(o.started?) as f64 / o.work));
         let most = running.fold(0.0, f64::max);
@@ -163,12 +171,13 @@
     #[test]
     fn pace_is_learned_with_data_at_hand_and_fetching_shows_beside_it() {
         let mut meter = Meter::default();
+        assert_eq!((meter.pace(0, 0.0), meter.pace(0, 3.0)), (1.0, 3.0), "at first it is as its like");
         let mut run = |n: u64, key: u64, took: Nanos| {
             let at = n * 1000 * MS;
             meter.sent(RequestId(n), 0, at, 100e6, Some(KeyId(key)));
             meter.started(RequestId(n), 0, at);
             let extra = meter.ended(RequestId(n), 0, at + took, true);
-            (extra, meter.pace(at + took))
+            (extra, meter.pace(at + took, 3.0))
         };
         assert_eq!(run(1, 7, 200 * MS), (None, 2.0));
         assert_eq!(run(2, 7, 200 * MS), (None, 2.0));
@@ -178,7 +187,7 @@
         meter.sent(RequestId(5), 0, 0, 100e6, Some(KeyId(7)));
         meter.started(RequestId(5), 0, 0);
         assert_eq!(
-            meter.pace(800 * MS),
+            meter.pace(800 * MS, 0.0),
             8.0,
             "one that runs four times as long as it should tells before it ends"
         );
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -85,8 +85,9 @@
     mean_run: f64,
     waits: Vec<Fading>,
     mean_worth: f64,
-    /// How much longer a job runs where its subject's data must be fetched.
+    /// How much longer a job runs where its subject's data must be fetched, and for a unit of work by kind.
     fetch: f64,
+    kind_pace: Vec<f64>,
     /// Slots that a request takes.
     mean_need: f64,
     most_need: f64,
@@ -105,6 +106,7 @@
             nets: vec![Network::default(); settings.classes.len()],
             learned: settings.classes.iter().map(Learned::new).collect(),
             kind_slots: vec![0.0; settings.kinds],
+            kind_pace: vec![0.0; settings.kinds],
             share: vec![Share::default(); settings.tenants.len()],
             waits: vec![Fading::default(); settings.zones],
             set: settings,
@@ -673,7 +675,8 @@
         let margin = if job.may_have_run().next().is_some() { 0.0 } else { MARGIN };
         let margin = margin * self.set.classes[job.request.class.0].aim as f64;
         let work = job.work / self.warmth(&known.entry, self.now);
-        let end = known.meter.end(self.now, work, job.request.key, self.fetch, self.mean_run * AHEAD);
+        let like = self.kind_pace.get(known.entry.kind.0).copied().unwrap_or(0.0);
+        let end = known.meter.end(self.now, work, like, job.request.key, self.fetch, self.mean_run * AHEAD);
         end + margin < job.aim_by as f64
     }
 
@@ -819,7 +822,9 @@
         known.own = (known.own - slots).max(0.0);
         job.answered |= ended.closed;
         let extra = known.meter.ended(id, attempt, self.now, ended.outcome == Outcome::Served);
-        self.fetch += (extra.unwrap_or(self.fetch) - self.fetch) * 0.02;
+        self.fetch += (extra.unwrap_or(self.fetch) - self.fetch) * 0.1;
+        let pace = self.kind_pace.get_mut(known.entry.kind.0);
+        pace.into_iter().for_each(|pace| toward(pace, known.meter.pace(self.now, *pace), 0.1));
         let learned = &mut self.learned[class];
         match ended.outcome {
             Outcome::Served => {
