--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -28,6 +28,8 @@
 const LONG: f64 = 4.0;
 /// What the price of crossing zones weighs, against the worth of the request, in running times.
 const CROSS: f64 = 8.0;
+/// Workers that a key belongs to.
+const HOMES: f64 = 1.5;
 /// Part of its slack that a job waits for the workers that its key belongs to, while these widen to all.
 const HOME_WAIT: f64 = 0.3;
 /// What a wait for slots at a worker weighs, in mean running times: late is worth nothing, so any worker that
@@ -415,8 +417,8 @@
         (cost / self.set.prices.probe.max(1e-9)).min(PROBES) * may
     }
 
-    /// Where load can be asked for, a few workers of the zone are asked before a send: a dispatcher with little
-    /// traffic would else know next to nothing. True: the request waits a moment for what they say.
+    /// Where load can be asked for, a few workers of the zone are asked before a send: a dispatcher with
+    /// little traffic would else know next to nothing. True: the request waits a moment for what they say.
     fn ask(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let probes = self.probes();
         let probes = if probes > 0.0 { (probes + self.rng.0.f64()) as usize } else { 0 };
@@ -637,17 +639,13 @@
         job.request.key.map_or(1.0, |k| lean(k.0, self.workers[w].entry.id.0))
     }
 
-    /// The part of the workers that a job may go to for its key: about one of all zones at first, all in
-    /// the end. A worker that has a key's data at hand saves fetching it; workers that keep few keys
-    /// keep them longer.
+    /// The part of the workers that a job may go to for its key: about one of all zones at first, all in the
+    /// end. A worker that has a key's data at hand saves fetching it; workers that keep few keep them longer.
     fn reach(&self, job: &Job) -> f64 {
         let slack = job.start_by.saturating_sub(job.arrived) as f64 * HOME_WAIT;
-        let waited = self.now.saturating_sub(job.arrived) as f64;
-        if job.request.key.is_none() || waited >= slack {
-            return 1.0;
-        }
+        let left = 1.0 - self.now.saturating_sub(job.arrived) as f64 / slack.max(1.0);
         let all = self.nets[job.request.class.0].neurons.len() as f64;
-        (1.5 / all.max(1.5)).powf(1.0 - waited / slack)
+        if job.request.key.is_none() || left <= 0.0 { 1.0 } else { (HOMES / all.max(HOMES)).powf(left) }
     }
 
     /// What stands in the way of a job on a worker, in its own running times. None: no room there.
