--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -54,6 +54,32 @@
     }
 }
 
+/// Where load is told by priced probes alone, textbook policies fill the queues until every answer is late, and cross a cut
+/// again and again; what jobs tell as they start keeps the module out of both.
+#[test]
+fn orders_end_in_time_where_only_starts_and_a_few_probes_tell_of_the_load() {
+    for (name, least) in
+        [("orders-calm", -0.02), ("orders-overload", 0.3), ("orders-cut", 0.0), ("orders-burst", 0.2)]
+    {
+        let day = day(name);
+        let mean = |decider: Option<Idea>| {
+            let played = (1..=3).map(|seed| match decider {
+                None => simulate::run(&day, seed, 0),
+                Some(idea) => {
+                    let make =
+                        move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
+                    simulate::run_with(&day, seed, 0, &make)
+                }
+            });
+            played.map(|p| p.figures.service).sum::<f64>() / 3.0
+        };
+        let module = mean(None);
+        for (idea, other) in Idea::ALL.map(|(name, idea)| (name, mean(Some(idea)))) {
+            assert!(module > other + least, "{name}: {module} against {other} of {idea}");
+        }
+    }
+}
+
 /// One seed is one day: with any number of threads, in another process with other hash seeds, and not with another
 /// seed.
 #[test]
