One piece each for keyed effects, textbook plays, requests on the stage, and jobs that wait

Read again: which effects carry a key was spelled out in four places (Effect::keyed now), three tests of the laboratory built the same textbook decider (textbook()), four stories made requests by hand beside Stage::asks, and the meter filtered its waiting attempts twice. Behaviour and assertions as before.

--- a/crates/decide/src/meter.rs
+++ b/crates/decide/src/meter.rs
@@ -110,12 +110,16 @@
         key.is_none_or(|k| self.keys.contains(&k))
     }
 
+    /// Own attempts that have not begun, as far as is known.
+    fn waiting(&self) -> impl Iterator<Item = &Out> {
+        self.out.iter().filter(|o| o.started.is_none())
+    }
+
     /// Time that a job sent now would wait there, in nanoseconds: as long as the last one did, less what the
     /// queue may have shrunk since, and no shorter than the oldest one has waited that has not begun.
     pub(crate) fn wait(&self, now: Nanos) -> f64 {
         let last = self.wait - SHRINK * now.saturating_sub(self.seen) as f64;
-        let waiting = self.out.iter().filter(|o| o.started.is_none());
-        let oldest = waiting.map(|o| now.saturating_sub(o.sent)).max().unwrap_or(0) as f64;
+        let oldest = self.waiting().map(|o| now.saturating_sub(o.sent)).max().unwrap_or(0) as f64;
         last.max(oldest - self.least.unwrap_or(WAY)).max(0.0)
     }
 
@@ -130,14 +134,14 @@
         fetch: f64,
         ahead: f64,
     ) -> f64 {
-        let waiting = self.out.iter().filter(|o| o.started.is_none()).count() as f64;
+        let waiting = self.waiting().count() as f64;
         let fetch = if self.keeps(key) { 0.0 } else { fetch.max(0.0) };
         now as f64 + self.wait(now) + waiting * ahead + work * self.pace(now, like) + fetch
     }
 
-    /// Time of running for a unit of work (that of its `like` before the first end, or 1): as learned, or what a job has taken already if
-    /// that is much more. A worker that is left alone because it was slow would never show that it no longer is, so
-    /// what was learned of late gives way to what is usual there.
+    /// Time of running for a unit of work (that of its `like` before the first end, or 1): as learned, or what a job has
+    /// taken already if that is much more. A worker that is left alone because it was slow would never show that it no
+    /// longer is, so what was learned of late gives way to what is usual there.
     pub(crate) fn pace(&self, now: Nanos, like: f64) -> f64 {
         let Some((pace, usual, at)) = self.pace else { return if like > 0.0 { like } else { 1.0 } };
         let pace = usual + (pace - usual) * fade(now.saturating_sub(at), RETURN);
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -807,11 +807,9 @@
         for key in 0..200 {
             let mut went = Vec::new();
             for _ in 0..2 {
-                stage.next += 1;
-                let id = RequestId(stage.next);
                 let key = Some(KeyId(key * 0x9e37_79b9));
-                let request = Request { key, ..Request::new(id, ClassId(0), 5 * S) };
-                let to = sent(&stage.event(Event::Request(request)));
+                let (id, actions) = stage.asks(5 * S, |r| r.key = key);
+                let to = sent(&actions);
                 assert_eq!(to.len(), 1, "key {key:?} of {n} workers");
                 stage.ends(id, 0, Outcome::Served);
                 went.extend(to);
@@ -859,9 +857,7 @@
         new.now = old.now;
         carried.into_iter().for_each(|carried| new.dispatcher.restore(carried));
         let picks = (0..20).filter(|_| {
-            new.next += 1;
-            let id = RequestId(new.next);
-            let actions = new.event(Event::Request(Request::new(id, ClassId(1), 4 * S)));
+            let (id, actions) = new.asks(4 * S, |r| r.class = ClassId(1));
             new.ends(id, 0, Outcome::Served);
             sent(&actions) == [WorkerId(1)]
         });
@@ -909,16 +905,12 @@
     stage.now += 30 * S;
     let mut failing = 0;
     for _ in 0..20 {
-        stage.next += 1;
-        let id = RequestId(stage.next);
-        let actions = stage.event(Event::Request(Request::new(id, ClassId(1), 4 * S)));
+        let (id, actions) = stage.asks(4 * S, |r| r.class = ClassId(1));
         failing += usize::from(sent(&actions) == [WorkerId(1)]);
         stage.ends(id, 0, Outcome::Served);
     }
     assert!(failing <= 6, "{failing} of 20 to the worker that the class before had learned to avoid");
     // By the new rules what may have run is over.
-    stage.next += 1;
-    let id = RequestId(stage.next);
-    stage.event(Event::Request(Request::new(id, ClassId(1), 4 * S)));
+    let (id, _) = stage.asks(4 * S, |r| r.class = ClassId(1));
     assert_eq!(answers(&stage.ends(id, 0, Outcome::Reset)), [&Action::Fail(id)]);
 }
--- a/crates/emulator/src/stage.rs
+++ b/crates/emulator/src/stage.rs
@@ -6,7 +6,6 @@
 use loomlb_decide::Nanos;
 use loomlb_model::clients::{Arrivals, Request};
 use loomlb_model::day::Day;
-use loomlb_model::day::Effect;
 use loomlb_model::figures::{Collector, Figures};
 use loomlb_model::referee::{Breach, Seen};
 use loomlb_model::seed::Stream;
@@ -410,8 +409,7 @@
 /// A request's worker and class as the clients think of it.
 pub(crate) fn sent(day: &Day, request: &Request) -> Sent {
     let class = &day.classes[request.class];
-    let keyed = matches!(class.effect, Effect::Keyed | Effect::KeyedByZone);
-    let key = keyed.then(|| format!("key-{:x}", request.number));
+    let key = class.effect.keyed().then(|| format!("key-{:x}", request.number));
     Sent {
         class: request.class,
         slots: request.slots,
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -10,6 +10,12 @@
     Day::read(SHIPPED.iter().find(|d| d.0 == name).unwrap().1).unwrap()
 }
 
+/// A day as a textbook policy decides it.
+fn textbook(day: &Day, seed: u64, threads: usize, idea: Idea) -> Played {
+    let make = move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
+    simulate::run_with(day, seed, threads, &make)
+}
+
 /// Each day is read, its troubles do what their names say by the model's own count, and the module breaks no rule.
 #[test]
 fn each_day_that_ships_does_what_it_says_without_a_breach() {
@@ -43,8 +49,7 @@
         let day = day(name);
         let module = simulate::run(&day, 3, 2);
         for idea in [Idea::TwoChoices, Idea::Random] {
-            let make = move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
-            let other = simulate::run_with(&day, 3, 2, &make).figures.service;
+            let other = textbook(&day, 3, 2, idea).figures.service;
             assert!(
                 module.figures.service > other + least,
                 "{name}: {} against {other}",
@@ -66,11 +71,7 @@
         let median = |decider: Option<Idea>| {
             let played = (1..=5).map(|seed| match decider {
                 None => simulate::run(&day, seed, 0),
-                Some(idea) => {
-                    let make =
-                        move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
-                    simulate::run_with(&day, seed, 0, &make)
-                }
+                Some(idea) => textbook(&day, seed, 0, idea),
             });
             let mut services: Vec<f64> = played.map(|p| p.figures.service).collect();
             services.sort_by(f64::total_cmp);
@@ -105,8 +106,7 @@
 fn the_module_beats_textbook_policies_on_a_calm_day() {
     let day = day("calm");
     let with = |idea: Idea| {
-        let make = move |set, seed| -> Box<dyn Decider> { Box::new(Baseline::new(idea, set, seed)) };
-        let played: Played = simulate::run_with(&day, 3, 0, &make);
+        let played = textbook(&day, 3, 0, idea);
         assert_eq!(played.breaches, 0, "{idea:?}");
         played.figures.service
     };
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -496,6 +496,13 @@
     Unsafe,
 }
 
+impl Effect {
+    /// Whether its requests carry a key by which workers drop repeats.
+    pub fn keyed(self) -> bool {
+        matches!(self, Effect::Keyed | Effect::KeyedByZone)
+    }
+}
+
 fn usual_classes() -> Vec<Class> {
     let class = |name: &str, share, work_ms, worth, effect| Class {
         name: name.into(),
--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -326,13 +326,13 @@
                     request,
                     format!("sent again, to worker {worker}, though worker {} may have run it", first.worker),
                 ),
-                Effect::Keyed | Effect::KeyedByZone if cell != first.cell => self.breach(
+                e if e.keyed() && cell != first.cell => self.breach(
                     Rule::KeyedRepeat,
                     at,
                     request,
                     format!("repeated in cell {cell}, first sent to cell {}", first.cell),
                 ),
-                Effect::Keyed | Effect::KeyedByZone if sent > first.at + window => {
+                e if e.keyed() && sent > first.at + window => {
                     self.breach(
                         Rule::KeyedRepeat,
                         at,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -752,7 +752,7 @@
 
     fn known_again(&mut self, now: Nanos, attempt: &Attempt, cell: usize) -> bool {
         let Some(class) = self.day.classes.get(attempt.class) else { return false };
-        if !matches!(class.effect, crate::day::Effect::Keyed | crate::day::Effect::KeyedByZone) {
+        if !class.effect.keyed() {
             return false;
         }
         let window = ms(class.window_ms);
