Unknown zones and kinds in a list are logged; the laboratory's discovery has a capacity

A list that names a zone or kind which the settings do not know was used in silence (discovery.rs, take), and discovery answered any number of calls at once in the model (simulate.rs, Action::Watch; agent.rs, answer). Change: such an entry is logged by target and key when it is new or has changed, counted (list_strange), and used. A call for the list takes discovery call_ms, one after the other for all schedulers, and fails when its turn would come after wait_ms, on both hosts; a watch that goes on costs nothing.

--- a/crates/emulator/src/agent.rs
+++ b/crates/emulator/src/agent.rs
@@ -5,6 +5,8 @@
 use crate::wire::{self, Body};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use loomlb_decide::Nanos;
+use loomlb_model::day::Mode;
 use loomlb_model::settings;
 use loomlb_model::world::{Entry, Health};
 use serde_json::{Value, json};
@@ -26,6 +28,8 @@
 const CLOSES: Duration = Duration::from_millis(1500);
 /// How often an agent looks whether discovery is up again.
 const LOOK: Duration = Duration::from_millis(50);
+/// A call that comes so soon after the last answer goes on with the same watch.
+const GOES_ON: Nanos = 200_000_000;
 
 /// Its version, its entries, and what has changed by which version.
 type Seen = (u64, Vec<Entry>, VecDeque<(u64, Entry)>);
@@ -39,6 +43,8 @@
     /// The list as it was last told, to make out what is new.
     seen: RefCell<Seen>,
     closing: watch::Sender<u64>,
+    /// A watch goes on, at no cost, if the next call comes by then.
+    goes_on: Cell<Nanos>,
 }
 
 pub(crate) async fn open(count: usize) -> io::Result<(Vec<Agent>, Vec<TcpListener>)> {
@@ -51,6 +57,7 @@
             at,
             seen: RefCell::default(),
             closing: watch::channel(0).0,
+            goes_on: Cell::new(0),
         });
         listeners.push(listener);
     }
@@ -96,6 +103,28 @@
     while !stage.world.borrow().discovery_up() {
         tokio::time::sleep(LOOK).await;
     }
+    if !has_its_turn(&stage, s).await {
+        return Some(wire::response(503, ""));
+    }
+    let answered = reply(&stage, s, request).await;
+    stage.agents[s].goes_on.set(stage.now() + GOES_ON);
+    answered
+}
+
+/// Where discovery is asked, a new call waits for its turn among all schedulers' calls; no if that would take too long.
+async fn has_its_turn(stage: &Rc<Stage>, s: usize) -> bool {
+    let now = stage.now();
+    let asked = stage.world.borrow().day.discovery.mode == Mode::Poll;
+    if !asked || now <= stage.agents[s].goes_on.get() {
+        return true;
+    }
+    let turn = stage.world.borrow_mut().list_call(now);
+    let (Ok(at) | Err(at)) = turn;
+    tokio::time::sleep(Duration::from_nanos(at.saturating_sub(now))).await;
+    turn.is_ok()
+}
+
+async fn reply(stage: &Rc<Stage>, s: usize, request: Request<Incoming>) -> Option<Response<Body>> {
     let path = request.uri().path().to_string();
     if request.method() != "GET" || path != "/v1/servers" {
         return Some(wire::response(404, ""));
@@ -106,7 +135,7 @@
         pair.and_then(|p| p.1.parse::<u64>().ok())
     };
     let Some(from) = asked("from") else {
-        return Some(wire::response(200, whole(&stage, s).to_string()));
+        return Some(wire::response(200, whole(stage, s).to_string()));
     };
     let hold = Duration::from_millis(asked("hold_ms").unwrap_or(0)).min(LONGEST);
     let news = async {
@@ -114,7 +143,7 @@
             let told = stage.agents[s].news.notified();
             tokio::pin!(told);
             told.as_mut().enable();
-            if let Some(list) = since(&stage, s, from) {
+            if let Some(list) = since(stage, s, from) {
                 return list;
             }
             told.await;
@@ -123,7 +152,7 @@
     let list = match tokio::time::timeout(hold, news).await {
         Ok(list) => list,
         Err(_) => {
-            refresh(&stage, s);
+            refresh(stage, s);
             let seq = stage.agents[s].seen.borrow().0;
             json!({"seq": seq.max(from), "whole": false, "hosts": []})
         }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -84,6 +84,22 @@
     }
 }
 
+/// Sixty schedulers that ask at their start overbook a slow discovery: calls fail, are made again later and later, and each
+/// scheduler has its list in the end; no drain is broken meanwhile.
+#[test]
+fn schedulers_that_overbook_discovery_ask_again_until_each_has_its_list() {
+    let mut day = day("orders-calm");
+    (day.schedulers.count, day.seconds) = (60, 20.0);
+    (day.discovery.call_ms, day.discovery.wait_ms) = (150.0, 300.0);
+    let played = simulate::run(&day, 2, 2);
+    let counters = &played.counters;
+    assert!(counters.list_calls_failed > 20 && counters.list_calls >= 60, "{counters:?}");
+    assert_eq!(played.breaches, 0);
+    assert!(played.figures.service > 0.6, "{:?}", played.figures);
+    day.discovery.call_ms = 0.0;
+    assert_eq!(simulate::run(&day, 2, 2).counters.list_calls_failed, 0);
+}
+
 /// One seed is one day: with any number of threads, in another process with other hash seeds, and not with another
 /// seed.
 #[test]
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -377,11 +377,22 @@
     pub spread_ms: f64,
     /// Time between two lists that tell the workers' weights anew, in milliseconds; 0 for none.
     pub weights_ms: f64,
+    /// Where it is asked: time that a call takes it, one after the other for all schedulers, in milliseconds.
+    pub call_ms: f64,
+    /// A call that would wait longer than this for its turn fails, in milliseconds.
+    pub wait_ms: f64,
 }
 
 impl Default for Discovery {
     fn default() -> Self {
-        Discovery { mode: Mode::Push, notice_ms: [560.0, 3400.0], spread_ms: 60.0, weights_ms: 1000.0 }
+        Discovery {
+            mode: Mode::Push,
+            notice_ms: [560.0, 3400.0],
+            spread_ms: 60.0,
+            weights_ms: 1000.0,
+            call_ms: 0.0,
+            wait_ms: 500.0,
+        }
     }
 }
 
@@ -751,6 +762,8 @@
             ("reports.noise", self.reports.noise),
             ("discovery.spread_ms", self.discovery.spread_ms),
             ("discovery.weights_ms", self.discovery.weights_ms),
+            ("discovery.call_ms", self.discovery.call_ms),
+            ("discovery.wait_ms", self.discovery.wait_ms),
             ("terms.max_retry_after_ms", self.terms.max_retry_after_ms),
             ("terms.drain_grace_ms", self.terms.drain_grace_ms),
             ("terms.fall_ms", self.terms.fall_ms),
--- a/crates/model/src/simulate.rs
+++ b/crates/model/src/simulate.rs
@@ -114,6 +114,8 @@
     Ending(usize, u32),
     Kill(usize, u32),
     List(usize, u32),
+    /// A call for the list has failed.
+    NoList(usize, u32),
 }
 
 #[derive(Debug)]
@@ -456,8 +458,11 @@
             }
             Action::Watch => {
                 self.mark(39, &[me]);
-                let back = self.way_to_list() + self.way_to_list();
-                self.push(self.now + back, Due::List(s, run));
+                let (there, back) = (self.way_to_list(), self.way_to_list());
+                match self.world.list_call(self.now + there) {
+                    Ok(done) => self.push(done + back, Due::List(s, run)),
+                    Err(failed) => self.push(failed + back, Due::NoList(s, run)),
+                }
             }
             Action::Tell(to, bytes) => {
                 self.mark(40, &[me, bytes.len() as u64]);
@@ -700,6 +705,7 @@
                 }
                 self.tell_list(s, ListKind::Complete);
             }
+            Due::NoList(s, run) if lives(self, s, run) => self.feed(s, Event::ListFailed),
             // Of a run that is over.
             _ => {}
         }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -203,6 +203,10 @@
     pub termed: u64,
     /// News that discovery held back while it was down.
     pub list_held_back: u64,
+    /// Calls for the list that discovery handled, and those that waited too long for their turn.
+    pub list_calls: u64,
+    /// See `list_calls`.
+    pub list_calls_failed: u64,
     /// Moves of discovery.
     pub moved: u64,
     /// Messages lost in a partition.
@@ -332,6 +336,8 @@
     waiting_news: Vec<Vec<Entry>>,
     seq: u64,
     discovery_down: usize,
+    /// Discovery is busy with the calls of all schedulers until then.
+    list_busy: Nanos,
     late: Nanos,
     stuck: f64,
     cut: FxHashSet<(usize, usize)>,
@@ -426,6 +432,7 @@
             waiting_news: vec![Vec::new(); schedulers],
             seq: 1,
             discovery_down: 0,
+            list_busy: 0,
             late: 0,
             stuck: 0.0,
             cut: FxHashSet::default(),
@@ -492,6 +499,19 @@
     pub fn told(&self, scheduler: usize) -> (u64, Vec<Entry>) {
         (self.seq, self.told[scheduler].values().map(|(e, _)| e.clone()).collect())
     }
+    /// A scheduler's call for the list has reached discovery, which handles one after the other: when it is done, or when
+    /// it fails because its turn would come too late.
+    pub fn list_call(&mut self, at: Nanos) -> Result<Nanos, Nanos> {
+        let (call, wait) = (ms(self.day.discovery.call_ms), ms(self.day.discovery.wait_ms));
+        let begins = at.max(self.list_busy);
+        if begins - at > wait {
+            self.counters.list_calls_failed += 1;
+            return Err(at + wait);
+        }
+        self.counters.list_calls += 1;
+        self.list_busy = begins + call;
+        Ok(self.list_busy)
+    }
     /// Whether discovery answers.
     pub fn discovery_up(&self) -> bool {
         self.discovery_down == 0
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -133,6 +133,8 @@
     pub lists: u64,
     /// Calls of discovery that failed.
     pub list_faults: u64,
+    /// Entries of lists whose zone or kind the settings do not know.
+    pub list_strange: u64,
     /// Calls of staff that were answered with yes.
     pub calls: u64,
     /// Calls of staff that were answered with no, by status; 503 comes last.
@@ -210,7 +212,7 @@
         }
         write!(f, " undone={} dials={} reused={} probes={}", c.undone, c.dials, c.reused, c.probes)?;
         write!(f, "; call_backs={} call_backs_unknown={}", c.call_backs, c.call_backs_unknown)?;
-        write!(f, "; lists={} list_faults={}", c.lists, c.list_faults)?;
+        write!(f, "; lists={} list_faults={} list_strange={}", c.lists, c.list_faults, c.list_strange)?;
         write!(f, "; calls={} calls_cut={}", c.calls, c.calls_cut)?;
         for (status, count) in CALLS_NO.iter().zip(c.calls_no).filter(|n| n.1 > 0) {
             write!(f, " calls_{status}={count}")?;
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -4,6 +4,7 @@
 use super::http::{Kind, Wire};
 use super::{Scheduler, route};
 use loomlb_control::orders::{Effect, Orders};
+use loomlb_decide::boot::Names;
 use loomlb_decide::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -167,6 +168,13 @@
     route::feed(s, Event::Workers { kind: ListKind::Partial, entries });
 }
 
+/// What the settings do not know of a target's entry. The target itself can be used.
+fn strange(names: &Names, host: &Host) -> Vec<String> {
+    let parts = [("site", &host.site, &names.zones), ("class", &host.class, &names.kinds)];
+    let unknown = parts.into_iter().filter(|(_, said, known)| !known.contains(said));
+    unknown.map(|(key, said, _)| format!("{key} {said:?} is not in the settings")).collect()
+}
+
 /// Takes in a list and tells the module of it.
 fn take(s: &Rc<Scheduler>, list: List, kind: ListKind) {
     let now = s.clock.now();
@@ -200,6 +208,13 @@
             tracing::error!("discovery: {}: dial {:?} is no address, left out", host.host, host.dial);
             continue;
         };
+        let epoch = s.epoch();
+        if known.is_none_or(|t| (&t.said.site, &t.said.class) != (&host.site, &host.class)) {
+            for fault in strange(&epoch.names, &host) {
+                s.book.borrow_mut().counters.list_strange += 1;
+                tracing::warn!("discovery: {}: {fault}, used all the same", host.host);
+            }
+        }
         let started = from_unix_ms(host.born_ms);
         let leaving = match state {
             WorkerState::Ready => None,
@@ -211,7 +226,7 @@
         }
         let worker =
             Worker { cell: CellId(host.block), state, weight: host.share, started, ..Worker::new(id) };
-        let word = s.epoch().names.worker(&host.site, &host.class, worker);
+        let word = epoch.names.worker(&host.site, &host.class, worker);
         let target = Target { host: host.host.as_str().into(), dial, leaving, word, said: Rc::new(host) };
         entries.push(effective(&s.orders.borrow(), &target));
         targets.insert(id, target);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -462,3 +462,32 @@
     done("a1");
     assert!(waits.answer().ends_with("a1"));
 }
+
+#[test]
+fn a_zone_or_kind_that_the_settings_do_not_know_is_logged_once_and_its_target_used() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery);
+    let mut watch = discovery.accept();
+    watch.hear();
+    let strange = target
+        .entry("active")
+        .replace(r#""site":"z""#, r#""site":"far""#)
+        .replace(r#""class":"k""#, r#""class":"odd""#);
+    for seq in [2, 3] {
+        watch.say(&response("200 OK", &list(seq, true, std::slice::from_ref(&strange))));
+        watch.hear();
+    }
+    let said = [stage.logged("discovery: discovery: "), stage.logged("discovery: discovery: ")];
+    assert_snapshot!(said.join("\n"), @r#"
+    s-00000001: site "far" is not in the settings, used all the same
+    s-00000001: class "odd" is not in the settings, used all the same
+    "#);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    let mut forward = target.accept();
+    assert!(forward.hear().contains("a1"));
+    forward.say(&response("202 Accepted", ""));
+    stage.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"yes"}"#);
+    assert!(client.answer().ends_with("yes"));
+    assert_snapshot!(stage.counters(&["list_strange", "served"]), @"served=1 list_strange=2");
+}
