--- /dev/null
+++ b/crates/accord/src/lib.rs
@@ -0,0 +1,50 @@
+//! What the schedulers of a tier have agreed on, and for how long each may act on it.
+//!
+//! Pure cores, apart from [`disk`]: no sockets, no clock, time passed in. [`agreement`] has the voters agree on one
+//! document ([`state`]) by the Raft library; [`promises`] is what a voter has promised to whom, [`holder`] what a
+//! scheduler may act on now, [`timing`] the figures that both go by, with their proof in docs/design/0006-accord.md.
+//! [`rules`] tells which changes contradict each other and what is the strictest of two documents; [`check`] reads the
+//! histories of all schedulers and says where an invariant broke. [`frames`] are the words on the tier link.
+
+#![forbid(unsafe_code)]
+
+pub mod agreement;
+pub mod check;
+pub mod disk;
+pub mod frames;
+pub mod holder;
+pub mod promises;
+pub mod rules;
+pub mod state;
+pub mod timing;
+
+/// A point in time or a span, in nanoseconds of whoever's clock is at hand.
+pub type Nanos = u64;
+/// A version of the document; 0 before there is one.
+pub type Version = u64;
+
+/// What a scheduler acts on: the rules of one version, or the strictest of two neighbours while the later is coming.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+pub enum Acting {
+    /// One version's rules.
+    On(Version),
+    /// What both this version and the next one allow.
+    Between(Version),
+}
+
+impl Acting {
+    /// The newest version whose rules are kept.
+    pub fn newest(self) -> Version {
+        match self {
+            Acting::On(v) => v,
+            Acting::Between(v) => v + 1,
+        }
+    }
+
+    /// The oldest version whose rules are kept.
+    pub fn oldest(self) -> Version {
+        match self {
+            Acting::On(v) | Acting::Between(v) => v,
+        }
+    }
+}
--- /dev/null
+++ b/crates/accord/src/promises.rs
@@ -0,0 +1,72 @@
+//! What a voter has promised to schedulers: that no version which contradicts what they act on comes into force.
+
+use crate::state::State;
+use crate::timing::Timing;
+use crate::{Acting, Nanos, Version};
+use std::collections::BTreeMap;
+
+/// Promises kept at most; a scheduler that would need one more is turned down, and counted.
+const MOST: usize = 10_000;
+
+/// A process of a scheduler: its name, and a number that no other of its processes has.
+pub type Process = (String, u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Promise {
+    asked: u64,
+    acting: Acting,
+    until: Nanos,
+}
+
+/// The promises of one voter. They live in memory alone: a voter that starts keeps quiet until all that it may have
+/// forgotten has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Promises {
+    timing: Timing,
+    given: BTreeMap<Process, Promise>,
+    since: Nanos,
+    /// Turned down for want of room.
+    pub full: u64,
+    /// Given so far.
+    pub count: u64,
+}
+
+impl Promises {
+    /// None yet, at a voter that starts now.
+    pub fn new(timing: Timing, now: Nanos) -> Promises {
+        Promises { timing, given: BTreeMap::new(), since: now, full: 0, count: 0 }
+    }
+
+    /// A process asks to act on something until a promise's time from now is over. Yes if this voter, with what it has
+    /// seen agreed, has not begun to wait for a later version.
+    pub fn ask(&mut self, now: Nanos, who: &Process, asked: u64, acting: Acting, seen: &State) -> bool {
+        // What comes after a later word of the same process was held up on the way.
+        if acting.newest() < seen.newest() || self.given.get(who).is_some_and(|p| p.asked > asked) {
+            return false;
+        }
+        if self.given.len() >= MOST && !self.given.contains_key(who) {
+            self.given.retain(|_, p| now < p.until);
+            if self.given.len() >= MOST {
+                self.full += 1;
+                return false;
+            }
+        }
+        self.count += 1;
+        self.given.insert(who.clone(), Promise { asked, acting, until: now + self.timing.promise });
+        true
+    }
+
+    /// Whether the version that is coming may come into force as far as this voter knows: it has given no promise on
+    /// older rules that still holds, and gives none any more.
+    pub fn ready(&self, now: Nanos, seen: &State) -> Option<Version> {
+        let version = seen.coming.as_ref()?.version;
+        let quiet = now >= self.since + self.timing.promise;
+        (quiet && self.given.values().all(|p| now >= p.until || p.acting.newest() >= version))
+            .then_some(version)
+    }
+
+    /// Processes that hold a promise now, with what they act on.
+    pub fn holders(&self, now: Nanos) -> impl Iterator<Item = (&Process, Acting)> {
+        self.given.iter().filter(move |(_, p)| now < p.until).map(|(who, p)| (who, p.acting))
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod baselines;
 pub mod days;
 pub mod tables;
+pub mod trial;
--- /dev/null
+++ b/crates/lab/src/trial.rs
@@ -0,0 +1,610 @@
+//! Trials of the tier's agreement in virtual time: the cores of `loomlb-accord` on a network that loses, delays, doubles
+//! and cuts, with processes that stall, die and come back and clocks that run apart. What comes of it is judged by the
+//! same checker that reads the histories of real processes.
+
+use loomlb_accord::agreement::{self, Agreement, TICK};
+use loomlb_accord::check::{Event as Did, Line, Verdict, judge};
+use loomlb_accord::disk::MemDisk;
+use loomlb_accord::frames::Word;
+use loomlb_accord::holder::Holder;
+use loomlb_accord::promises::Promises;
+use loomlb_accord::rules::Body;
+use loomlb_accord::state::{Command, Outcome, State};
+use loomlb_accord::timing::{Terms, Timing};
+use loomlb_accord::{Acting, Nanos, Version};
+use serde::Serialize;
+use serde_json::json;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1000 * MS;
+/// Time between two acts of a scheduler that may act.
+const ACT: Nanos = 20 * MS;
+/// After the faults everything is whole for this long, and all must agree and act by its end.
+const HEALED: Nanos = 15 * S;
+
+/// A part that is taken away, to show that the checker misses it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Without {
+    /// Nothing is taken away.
+    Nothing,
+    /// A voter that starts anew does not wait for what it promised before.
+    Quiet,
+    /// A version comes into force as soon as it is agreed.
+    Readiness,
+    /// Clocks run apart by thirty times what the terms say.
+    Drift,
+}
+
+/// A trial.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// Schedulers.
+    pub schedulers: usize,
+    /// Those of them that vote.
+    pub voters: usize,
+    /// Length of the part with faults, in seconds.
+    pub seconds: u64,
+    /// The figures of the leases.
+    pub terms: Terms,
+    /// Whether anything goes wrong.
+    pub faults: bool,
+    /// Time between two proposals.
+    pub every: Nanos,
+    /// What is taken away.
+    pub without: Without,
+}
+
+/// What a trial came to.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Told {
+    /// Versions that came into force.
+    pub versions: u64,
+    /// Proposals that missed another.
+    pub missed: u64,
+    /// What broke, told.
+    pub breaches: Vec<String>,
+    /// The longest disagreement, in milliseconds.
+    pub disagreed_ms: f64,
+    /// Acts.
+    pub acts: usize,
+    /// From agreed to in force, in milliseconds: median and the most.
+    pub force_ms: [f64; 2],
+    /// From agreed until every scheduler that may act acts on it, in milliseconds: median and the most.
+    pub everywhere_ms: [f64; 2],
+    /// Share of the time for which schedulers that ran could act.
+    pub could_act: f64,
+    /// Words a second and scheduler.
+    pub words: f64,
+}
+
+enum Due {
+    Tick(usize, u64),
+    Renew(usize, u64),
+    Act(usize, u64),
+    Word(usize, usize, u64, Box<Word>),
+    Propose,
+    Fault,
+    Start(usize),
+    Continue(usize),
+    Cut(Vec<(usize, usize)>, bool),
+    Loss(f64),
+}
+
+struct Node {
+    run: u64,
+    up: bool,
+    stopped: bool,
+    held_up: Vec<Due>,
+    rate: f64,
+    holder: Holder,
+    voter: Option<(Agreement, Promises)>,
+    disk: MemDisk,
+    may: bool,
+    proposal: Option<Command>,
+}
+
+struct Host {
+    trial: Trial,
+    timing: Timing,
+    rng: fastrand::Rng,
+    now: Nanos,
+    pushed: u64,
+    queue: BinaryHeap<Reverse<(Nanos, u64, usize)>>,
+    store: BTreeMap<usize, Due>,
+    nodes: Vec<Node>,
+    cut: BTreeSet<(usize, usize)>,
+    loss: f64,
+    lines: Vec<Line>,
+    agreed: BTreeMap<Version, Nanos>,
+    force: BTreeMap<Version, Nanos>,
+    everywhere: BTreeMap<Version, Nanos>,
+    contradicts: BTreeSet<Version>,
+    missed: BTreeSet<u64>,
+    words: u64,
+    could: (u64, u64),
+    healed: bool,
+}
+
+/// Plays a trial; the same seed has the same end.
+pub fn play(trial: &Trial, seed: u64) -> Result<Told, String> {
+    let timing = trial.terms.derive().map_err(|(key, why)| format!("{key}: {why}"))?;
+    let mut host = Host {
+        trial: trial.clone(),
+        timing,
+        rng: fastrand::Rng::with_seed(seed),
+        now: 0,
+        pushed: 0,
+        queue: BinaryHeap::new(),
+        store: BTreeMap::new(),
+        nodes: Vec::new(),
+        cut: BTreeSet::new(),
+        loss: 0.0,
+        lines: Vec::new(),
+        agreed: BTreeMap::new(),
+        force: BTreeMap::new(),
+        everywhere: BTreeMap::new(),
+        contradicts: BTreeSet::new(),
+        missed: BTreeSet::new(),
+        words: 0,
+        could: (0, 0),
+        healed: false,
+    };
+    host.run()?;
+    Ok(host.told())
+}
+
+/// A document whose class and workers follow from a number.
+fn body(number: u64) -> Body {
+    let effect = ["idempotent", "deduplicated", "at_most_once"][(number % 3) as usize];
+    let settings = json!({"classes": [{"name": "lodge", "effect": effect, "give_up": 5, "group": "all"}], "tick": number / 5});
+    let out = if number.is_multiple_of(4) {
+        BTreeSet::from([format!("s-{}", number % 3)])
+    } else {
+        BTreeSet::new()
+    };
+    Body { settings, out }
+}
+
+impl Host {
+    fn push(&mut self, at: Nanos, due: Due) {
+        self.pushed += 1;
+        self.queue.push(Reverse((at, self.pushed, self.pushed as usize)));
+        self.store.insert(self.pushed as usize, due);
+    }
+
+    /// A node's own clock. Clocks are of no common origin.
+    fn clock(&self, n: usize) -> Nanos {
+        (self.now as f64 * self.nodes[n].rate) as Nanos + n as Nanos * S
+    }
+
+    /// When a node's clock will have gone on by so much.
+    fn after(&self, n: usize, span: Nanos) -> Nanos {
+        self.now + (span as f64 / self.nodes[n].rate) as Nanos
+    }
+
+    fn log(&mut self, n: usize, event: Did) {
+        let (who, process) = (format!("n{n}"), self.nodes[n].run);
+        self.lines.push(Line { at: self.now, who, process, event });
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        let drift = match self.trial.without {
+            Without::Drift => 0.3,
+            _ => self.trial.terms.drift,
+        };
+        for n in 0..self.trial.schedulers {
+            let rate = if self.trial.faults { 1.0 + drift * [-1.0, 0.0, 1.0][n % 3] } else { 1.0 };
+            let holder = Holder::new(self.timing, self.trial.voters);
+            self.nodes.push(Node {
+                run: 0,
+                up: false,
+                stopped: false,
+                held_up: Vec::new(),
+                rate,
+                holder,
+                voter: None,
+                disk: MemDisk::default(),
+                may: false,
+                proposal: None,
+            });
+            self.start(n)?;
+        }
+        self.push(S / 2, Due::Propose);
+        if self.trial.faults {
+            self.push(3 * S, Due::Fault);
+        }
+        let faults = self.trial.seconds * S;
+        while let Some(Reverse((at, _, key))) = self.queue.pop() {
+            if at > faults && !self.healed {
+                self.heal();
+            }
+            if at > faults + HEALED {
+                break;
+            }
+            self.now = at;
+            if let Some(due) = self.store.remove(&key) {
+                self.due(due)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// All links hold and all processes run from now on.
+    fn heal(&mut self) {
+        self.healed = true;
+        self.cut.clear();
+        self.loss = 0.0;
+        for n in 0..self.nodes.len() {
+            if self.nodes[n].stopped {
+                self.push(self.now, Due::Continue(n));
+            }
+        }
+    }
+
+    fn start(&mut self, n: usize) -> Result<(), String> {
+        let node = &mut self.nodes[n];
+        node.run += 1;
+        (node.up, node.stopped, node.may, node.proposal) = (true, false, false, None);
+        node.held_up.clear();
+        node.holder = Holder::new(self.timing, self.trial.voters);
+        if n < self.trial.voters {
+            let (id, all) = (n as u64 + 1, self.trial.voters as u64);
+            let agreement = Agreement::new(id, all, node.disk.held.clone()).map_err(|e| e.to_string())?;
+            let since = match self.trial.without {
+                Without::Quiet => None,
+                _ => Some(self.clock(n)),
+            };
+            let promises = Promises::new(self.timing, since.unwrap_or(0));
+            self.nodes[n].voter = Some((agreement, promises));
+            self.push(self.now, Due::Tick(n, self.nodes[n].run));
+        }
+        let run = self.nodes[n].run;
+        // Schedulers that start at once do not ask at once.
+        let late = self.rng.u64(0..self.timing.renew);
+        self.push(self.now + late, Due::Renew(n, run));
+        self.push(self.now + late, Due::Act(n, run));
+        Ok(())
+    }
+
+    fn due(&mut self, due: Due) -> Result<(), String> {
+        let of = match &due {
+            Due::Tick(n, run) | Due::Renew(n, run) | Due::Act(n, run) => Some((*n, *run)),
+            Due::Word(_, to, _, _) => Some((*to, self.nodes[*to].run)),
+            _ => None,
+        };
+        if let Some((n, run)) = of {
+            if !self.nodes[n].up || self.nodes[n].run != run {
+                return Ok(());
+            }
+            if self.nodes[n].stopped {
+                // A stopped process finds all that waits for it when it goes on, and its clock has moved meanwhile.
+                if self.nodes[n].held_up.len() < 5000 {
+                    self.nodes[n].held_up.push(due);
+                }
+                return Ok(());
+            }
+        }
+        match due {
+            Due::Tick(n, run) => {
+                let leader = self.voter(n, |agreement, promises, now| {
+                    agreement.tick();
+                    (
+                        agreement.leader(),
+                        promises.ready(now, agreement.state()).filter(|_| agreement.settled()),
+                    )
+                });
+                if let Some((leader, ready)) = leader {
+                    self.readiness(n, leader, ready);
+                }
+                self.turn(n)?;
+                self.push(self.after(n, TICK), Due::Tick(n, run));
+            }
+            Due::Renew(n, run) => {
+                self.renew(n);
+                self.push(self.after(n, self.timing.renew), Due::Renew(n, run));
+            }
+            Due::Act(n, run) => {
+                self.act(n);
+                self.push(self.now + ACT, Due::Act(n, run));
+            }
+            Due::Word(from, to, from_run, word) => self.hear(from, to, from_run, *word)?,
+            Due::Propose => {
+                self.propose();
+                if !self.healed {
+                    let span = self.trial.every / 2 + self.rng.u64(0..self.trial.every);
+                    self.push(self.now + span, Due::Propose);
+                }
+            }
+            Due::Fault => {
+                if !self.healed {
+                    self.fault();
+                    let span = 300 * MS + self.rng.u64(0..3 * S);
+                    self.push(self.now + span, Due::Fault);
+                }
+            }
+            Due::Start(n) => self.start(n)?,
+            Due::Continue(n) => {
+                self.nodes[n].stopped = false;
+                for due in std::mem::take(&mut self.nodes[n].held_up) {
+                    self.push(self.now, due);
+                }
+            }
+            Due::Cut(pairs, on) => pairs.into_iter().for_each(|p| {
+                if on && !self.healed {
+                    self.cut.insert(p);
+                } else {
+                    self.cut.remove(&p);
+                }
+            }),
+            Due::Loss(loss) => self.loss = if self.healed { 0.0 } else { loss },
+        }
+        Ok(())
+    }
+
+    fn voter<T>(
+        &mut self,
+        n: usize,
+        word: impl FnOnce(&mut Agreement, &mut Promises, Nanos) -> T,
+    ) -> Option<T> {
+        let now = self.clock(n);
+        self.nodes[n].voter.as_mut().map(|(agreement, promises)| word(agreement, promises, now))
+    }
+
+    fn readiness(&mut self, n: usize, leader: u64, ready: Option<Version>) {
+        if self.trial.without == Without::Readiness {
+            self.voter(n, |agreement, _, _| {
+                if let Some(version) = agreement.state().coming.as_ref().map(|d| d.version) {
+                    (1..=9).for_each(|voter| agreement.ready(voter, version));
+                }
+            });
+        }
+        let Some(version) = ready else { return };
+        if leader == n as u64 + 1 {
+            self.voter(n, |agreement, _, _| agreement.ready(leader, version));
+        } else if leader > 0 {
+            self.send(n, leader as usize - 1, Word::Ready(version));
+        }
+    }
+
+    /// Lets a voter do what it has to, and sees what has been agreed.
+    fn turn(&mut self, n: usize) -> Result<(), String> {
+        let mut disk = std::mem::take(&mut self.nodes[n].disk);
+        let out = self.voter(n, |agreement, _, _| agreement.turn(&mut disk));
+        self.nodes[n].disk = disk;
+        for message in out.transpose().map_err(|e| e.to_string())?.unwrap_or_default() {
+            self.send(n, message.to as usize - 1, Word::Raft(agreement::bytes(&message)));
+        }
+        let Some((agreement, _)) = &self.nodes[n].voter else { return Ok(()) };
+        let state = agreement.state();
+        let now = self.now;
+        for past in &state.history {
+            self.agreed.entry(past.version).or_insert(now);
+            if past.contradicts {
+                self.contradicts.insert(past.version);
+            }
+        }
+        if let Some(active) = &state.active {
+            self.force.entry(active.version).or_insert(now);
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, from: usize, to: usize, word: Word) {
+        if to >= self.nodes.len() {
+            return;
+        }
+        self.words += 1;
+        let run = self.nodes[from].run;
+        let copies = if self.loss > 0.0 && self.rng.f64() < 0.1 { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.cut.contains(&(from, to)) || (from != to && self.rng.f64() < self.loss) {
+                continue;
+            }
+            let way = match (from == to, self.loss > 0.0) {
+                (true, _) => 0,
+                (_, false) => MS / 2 + self.rng.u64(0..2 * MS),
+                // Slow replies: some words come after whole seconds, out of order.
+                (_, true) if self.rng.f64() < 0.1 => self.rng.u64(0..4 * S),
+                _ => self.rng.u64(0..100 * MS),
+            };
+            self.push(self.now + way, Due::Word(from, to, run, Box::new(word.clone())));
+        }
+    }
+
+    fn renew(&mut self, n: usize) {
+        let now = self.clock(n);
+        let (number, acting) = self.nodes[n].holder.ask(now);
+        let index = self.nodes[n].holder.seen().index;
+        for voter in 0..self.trial.voters {
+            self.send(n, voter, Word::Ask { number, acting, index });
+        }
+        let waiting = self.nodes[n].proposal.clone();
+        if let Some(Command::Propose { token, .. }) = &waiting {
+            match self.nodes[n].holder.seen().outcome(*token) {
+                None => {
+                    let to = self.rng.usize(0..self.trial.voters);
+                    if let Some(command) = waiting {
+                        self.send(n, to, Word::Propose(command));
+                    }
+                }
+                Some(outcome) => {
+                    if matches!(outcome, Outcome::Missed(_)) {
+                        self.missed.insert(*token);
+                    }
+                    self.nodes[n].proposal = None;
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, n: usize) {
+        let now = self.clock(n);
+        let holder = &self.nodes[n].holder;
+        let (may, on, until) = (holder.may_act(now), holder.acting(), holder.until());
+        self.could.0 += u64::from(may);
+        self.could.1 += 1;
+        if may != self.nodes[n].may {
+            self.nodes[n].may = may;
+            self.log(n, if may { Did::Renewed } else { Did::Lapsed });
+        }
+        if let (true, Some(on)) = (may, on) {
+            self.log(n, Did::Acts { on, left: until.unwrap_or(0).saturating_sub(now) });
+        }
+        if let Some(version) = self.force.keys().next_back().copied()
+            && !self.everywhere.contains_key(&version)
+            && self.nodes.iter().enumerate().all(|(i, node)| {
+                let may = node.up && node.holder.may_act(self.clock(i));
+                !may || node.holder.acting() == Some(Acting::On(version))
+            })
+        {
+            self.everywhere.insert(version, self.now);
+        }
+    }
+
+    fn hear(&mut self, from: usize, to: usize, from_run: u64, word: Word) -> Result<(), String> {
+        let now = self.clock(to);
+        let process = (format!("n{from}"), from_run);
+        match word {
+            Word::Ask { number, acting, index } => {
+                let answer = self.voter(to, |agreement, promises, now| {
+                    let state = agreement.state();
+                    let yes = agreement.settled()
+                        && acting.is_some_and(|acting| promises.ask(now, &process, number, acting, state));
+                    (yes, (state.index > index).then(|| state.clone()))
+                });
+                // An answer to an earlier process of this name finds nobody.
+                if let Some((yes, news)) = answer
+                    && self.nodes[from].run == from_run
+                {
+                    self.send(to, from, Word::Answer { number, yes, news });
+                }
+            }
+            Word::Answer { number, yes, news } => self.answer(to, from, now, (number, yes, news)),
+            Word::Propose(command) => {
+                self.voter(to, |agreement, _, _| agreement.propose(&command));
+                self.turn(to)?;
+            }
+            Word::Ready(version) => {
+                self.voter(to, |agreement, _, _| agreement.ready(from as u64 + 1, version));
+                self.turn(to)?;
+            }
+            Word::Raft(bytes) => {
+                if let Some(message) = agreement::message(&bytes) {
+                    self.voter(to, |agreement, _, _| agreement.step(message));
+                    self.turn(to)?;
+                }
+            }
+            Word::Hello { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn answer(
+        &mut self,
+        n: usize,
+        voter: usize,
+        now: Nanos,
+        (number, yes, news): (u64, bool, Option<State>),
+    ) {
+        if self.nodes[n].holder.answer(now, voter, number, yes, news)
+            && let Some(acting) = self.nodes[n].holder.acting()
+        {
+            self.log(n, Did::Takes(acting));
+            self.renew(n);
+        }
+    }
+
+    fn propose(&mut self) {
+        let n = self.rng.usize(0..self.nodes.len());
+        // Two at once now and then.
+        let second = (self.rng.u8(0..4) == 0).then(|| self.rng.usize(0..self.nodes.len()));
+        for n in [Some(n), second].into_iter().flatten() {
+            let (token, number) = (self.rng.u64(..), self.rng.u64(0..60));
+            let node = &mut self.nodes[n];
+            let base = node.holder.seen().newest();
+            if node.up && !node.stopped && node.proposal.is_none() {
+                node.proposal =
+                    Some(Command::Propose { token, by: format!("n{n}"), base, body: body(number) });
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let (all, voters) = (self.nodes.len(), self.trial.voters);
+        let lasts = 200 * MS + self.rng.u64(0..9 * S);
+        let n = if self.rng.bool() { self.rng.usize(0..voters) } else { self.rng.usize(0..all) };
+        match self.rng.u8(0..6) {
+            // Stopped and continued.
+            0 | 1 => {
+                self.nodes[n].stopped = true;
+                self.push(self.now + lasts, Due::Continue(n));
+            }
+            // Killed and started anew, with its disk; now and then all voters at once.
+            2 => {
+                let dead: Vec<usize> = if self.rng.u8(0..5) == 0 { (0..voters).collect() } else { vec![n] };
+                for n in dead {
+                    if self.nodes[n].up {
+                        self.nodes[n].up = false;
+                        self.push(self.now + 50 * MS + lasts / 8, Due::Start(n));
+                    }
+                }
+            }
+            // Cut off, both ways or one.
+            3 | 4 => {
+                let (there, back) = [(true, true), (true, false), (false, true)][self.rng.usize(0..3)];
+                let side: BTreeSet<usize> = if self.rng.bool() {
+                    BTreeSet::from([n])
+                } else {
+                    (0..all).filter(|_| self.rng.u8(0..3) == 0).collect()
+                };
+                let mut pairs = Vec::new();
+                for (a, b) in side.iter().flat_map(|a| (0..all).map(move |b| (*a, b))) {
+                    if !side.contains(&b) {
+                        pairs.extend(there.then_some((a, b)).into_iter().chain(back.then_some((b, a))));
+                    }
+                }
+                self.push(self.now, Due::Cut(pairs.clone(), true));
+                self.push(self.now + lasts, Due::Cut(pairs, false));
+            }
+            _ => {
+                let loss = [0.05, 0.2, 0.5][self.rng.usize(0..3)];
+                self.push(self.now, Due::Loss(loss));
+                self.push(self.now + lasts, Due::Loss(0.0));
+            }
+        }
+    }
+
+    fn told(&self) -> Told {
+        let verdict: Verdict = judge(&self.lines, 0, |version| self.contradicts.contains(&version));
+        let mut breaches: Vec<String> = verdict.breaches.iter().map(ToString::to_string).collect();
+        let newest = self.force.keys().next_back().copied().unwrap_or(0);
+        for (n, node) in self.nodes.iter().enumerate() {
+            if !node.holder.may_act(self.clock(n)) || node.holder.acting() != Some(Acting::On(newest)) {
+                let (acting, may) = (node.holder.acting(), node.holder.may_act(self.clock(n)));
+                breaches.push(format!(
+                    "all agree in the end: n{n} acts on {acting:?} of {newest}, may act: {may}"
+                ));
+            }
+        }
+        let spans = |to: &BTreeMap<Version, Nanos>| {
+            let spans =
+                to.iter().filter_map(|(v, at)| Some(at.checked_sub(*self.agreed.get(v)?)? as f64 / 1e6));
+            let mut spans: Vec<f64> = spans.collect();
+            spans.sort_by(f64::total_cmp);
+            [spans.get(spans.len() / 2).copied().unwrap_or(0.0), spans.last().copied().unwrap_or(0.0)]
+        };
+        Told {
+            versions: newest,
+            missed: self.missed.len() as u64,
+            breaches,
+            disagreed_ms: verdict.disagreed as f64 / 1e6,
+            acts: verdict.acts,
+            force_ms: spans(&self.force),
+            everywhere_ms: spans(&self.everywhere),
+            could_act: self.could.0 as f64 / self.could.1.max(1) as f64,
+            words: self.words as f64 / (self.now as f64 / 1e9) / self.nodes.len() as f64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/trials.rs
@@ -0,0 +1,50 @@
+//! The tier's agreement under faults, in virtual time.
+
+use loomlb_accord::timing::Terms;
+use loomlb_lab::trial::{Told, Trial, Without, play};
+
+fn trial(without: Without) -> Trial {
+    let terms = Terms { bound: 2_500_000_000, ..Terms::default() };
+    Trial { schedulers: 6, voters: 3, seconds: 40, terms, faults: true, every: 2_000_000_000, without }
+}
+
+fn broken(without: Without, seeds: std::ops::Range<u64>) -> Vec<(u64, Told)> {
+    let told = seeds.map(|seed| (seed, play(&trial(without), seed).unwrap()));
+    told.filter(|(_, t)| !t.breaches.is_empty()).collect()
+}
+
+/// Whatever stalls, dies, is cut off, comes late, twice or out of order: no two schedulers act on versions that contradict
+/// each other, no one acts without a lease, and once all is whole again everybody acts on the newest version.
+#[test]
+fn no_two_schedulers_act_on_contradicting_versions_whatever_breaks() {
+    let broken = broken(Without::Nothing, 0..40);
+    let first = broken.first().map(|(seed, t)| format!("seed {seed}: {}", t.breaches.join("\n")));
+    assert_eq!(first, None, "{} of 40", broken.len());
+    let told = play(&trial(Without::Nothing), 1).unwrap();
+    assert!(told.versions > 5 && told.acts > 3000 && told.could_act > 0.3, "{told:?}");
+    // The same seed has the same end.
+    assert_eq!(format!("{:?}", play(&trial(Without::Nothing), 1).unwrap()), format!("{told:?}"));
+}
+
+/// Each part that the proof needs is taken away, and two schedulers are seen to act against each other.
+#[test]
+fn without_any_one_part_of_it_the_checker_finds_a_breach() {
+    // Long leases outlast a restart of the voters.
+    let terms = Terms { bound: 8_000_000_000, ..Terms::default() };
+    for without in [Without::Quiet, Without::Readiness, Without::Drift] {
+        let mut told = (0..400).map(|seed| (seed, play(&Trial { terms, ..trial(without) }, seed).unwrap()));
+        let rule = "no two act on contradicting versions";
+        let found = told.find(|(_, t)| t.breaches.iter().any(|b| b.starts_with(rule)));
+        println!("{without:?}: {found:?}");
+        assert!(found.is_some(), "{without:?}");
+    }
+}
+
+/// Where nothing goes wrong a version is in force everywhere well within a lease, at any size.
+#[test]
+fn a_calm_tier_of_a_hundred_takes_a_version_at_once() {
+    let calm = Trial { schedulers: 100, voters: 5, seconds: 15, faults: false, ..trial(Without::Nothing) };
+    let told = play(&calm, 1).unwrap();
+    assert!(told.breaches.is_empty() && told.versions > 3, "{told:?}");
+    assert!(told.everywhere_ms[1] < 1500.0, "{told:?}");
+}
