The tier agrees on settings and on workers out by hand; a fault rig plays it with real processes

Need: SIGHUP and the second address changed one scheduler each. Change: [tier] in the operator file. A scheduler asks the voters for its lease on an authenticated link, looks at it last before the first byte of a forward, refuses and says no to health without one (or goes on by the strictest rules, on_lapse). SIGHUP and PUT /control/tier/settings propose; workers out or back at the second address hold for all. Without [tier] nothing is opened, asked or sent. crates/emulator/src/rig.rs starts 3 to 16 processes and stands between all of them: links cut one way or both, slow, broken; processes stopped, killed, started with an older file or without their store. Each writes what it acted on, and the checker reads all of it. No breach; a version waits for a scheduler that is cut off within the bound of 3 s; jobs sent after a class had changed ran once.

--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -13,6 +13,10 @@
     OutOfService,
     /// Take clients again.
     InService,
+    /// What the tier has agreed on.
+    Tier,
+    /// New settings for the whole tier, in the body; the version that they are meant to follow, if that is named.
+    Propose(Option<u64>),
 }
 
 /// Why a call is none.
@@ -36,6 +40,11 @@
             ["ready"] => (Call::Ready, "GET"),
             ["out-of-service"] => (Call::OutOfService, "PUT"),
             ["in-service"] => (Call::InService, "PUT"),
+            ["tier"] => (Call::Tier, "GET"),
+            ["tier", "settings"] => (Call::Propose(None), "PUT"),
+            ["tier", "settings", base] => {
+                (Call::Propose(Some(base.parse().map_err(|_| Fault::Malformed)?)), "PUT")
+            }
             ["workers", id, "offline"] => (Call::Offline(decoded(id)?), "PUT"),
             ["workers", id, "online"] => (Call::Online(decoded(id)?), "PUT"),
             _ => return Err(Fault::Unknown),
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -13,6 +13,7 @@
 mod clients;
 mod cost;
 mod peers;
+pub mod rig;
 mod schedulers;
 mod stage;
 mod wire;
--- a/crates/emulator/src/wire.rs
+++ b/crates/emulator/src/wire.rs
@@ -109,6 +109,11 @@
     TcpListener::bind(SocketAddr::from((ip, 0))).await
 }
 
+/// A hang-up that never comes.
+pub(crate) async fn silence_as_unit() {
+    std::future::pending().await
+}
+
 /// Never returns.
 pub(crate) async fn silence() -> Infallible {
     std::future::pending().await
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -79,7 +79,7 @@
     }
     let full =
         book.len() >= epoch.terms.max_open || book.body_bytes() + offer.work.body.len() > s.config.body_bytes;
-    if full || s.shutdown.service().refusing(now) {
+    if full || s.shutdown.service().refusing(now) || !s.tier.may_act() {
         book.counters.turned_back += 1;
         return Err(Rejection::NoRoom(NO_ROOM_WAIT.min(s.epoch().settings.limits.max_retry_after)));
     }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -75,6 +75,13 @@
     pub postponed: Vec<String>,
 }
 
+impl Fresh {
+    /// The settings as they stand in the file.
+    pub fn settings(&self) -> serde_json::Value {
+        self.keys.get("settings").cloned().unwrap_or_default()
+    }
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct Raw {
@@ -145,7 +152,25 @@
     /// Reads the same file again. `LB_DISCOVERY` was set at the start and cannot have changed since, so here
     /// the file's own word on discovery counts.
     pub fn reload(&self) -> Result<Fresh, String> {
-        let (mut raw, keys) = Raw::read(&self.file)?;
+        let (raw, keys) = Raw::read(&self.file)?;
+        self.fresh(raw, keys)
+    }
+
+    /// The same file with other settings, as the tier has agreed on them.
+    pub fn with_settings(&self, settings: serde_json::Value) -> Result<Fresh, String> {
+        let mut keys = self.keys.borrow().clone();
+        keys.insert("settings".into(), settings);
+        // The file itself may have a known list and addresses that the environment overrides: those stay as they are.
+        let raw = Raw::deserialize(&serde_json::Value::Object(keys.clone())).map_err(|e| e.to_string())?;
+        self.fresh(raw, keys)
+    }
+
+    /// The settings as they stand in the file that was read last.
+    pub fn settings(&self) -> serde_json::Value {
+        self.keys.borrow().get("settings").cloned().unwrap_or_default()
+    }
+
+    fn fresh(&self, mut raw: Raw, keys: Keys) -> Result<Fresh, String> {
         raw.listen = raw.listen.or_else(|| Some(self.listen.to_string()));
         raw.discovery = raw.discovery.or_else(|| Some(self.discovery.to_string()));
         let before = self.keys.borrow();
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -2,7 +2,7 @@
 //! the clients' listener is at. What a call means is decided in `loomlb-control`.
 
 use super::http::{Fault, Kind, Message, Wire, response};
-use super::{Scheduler, discovery, upgrade};
+use super::{Scheduler, discovery, tier, upgrade};
 use loomlb_control::call::{self, Call};
 use loomlb_control::service::State;
 use loomlb_handover::words::Ask;
@@ -132,6 +132,12 @@
     Reply { status, body: format!("{}\n", serde_json::json!({ "yes": false, "why": why })), allow: None }
 }
 
+/// Takes a worker out or puts it back, as the tier has agreed.
+pub fn agreed(s: &Rc<Scheduler>, host: &str, out: bool) {
+    let host = host.to_string();
+    carry_out(s, &if out { Call::Offline(host) } else { Call::Online(host) });
+}
+
 /// Carries a call out and says what has come of it.
 async fn answer(s: &Rc<Scheduler>, message: &Message) -> Reply {
     let call = match Call::read(&message.method, &message.path) {
@@ -148,6 +154,22 @@
     {
         return no(404, "unknown worker");
     }
+    if let Call::Tier | Call::Propose(_) = call {
+        if !s.tier.on() {
+            return no(404, "no tier is configured here");
+        }
+        let (status, body) = match call {
+            Call::Propose(base) => tier::proposed(s, &message.body, base).await,
+            _ => (200, tier::state(s)),
+        };
+        return Reply { status, body: format!("{body}\n"), allow: None };
+    }
+    if let Call::Offline(host) | Call::Online(host) = &call
+        && s.tier.on()
+    {
+        let (status, body) = tier::order(s, host, matches!(call, Call::Offline(_))).await;
+        return Reply { status, body: format!("{body}\n"), allow: None };
+    }
     if call != Call::Ready {
         carry_out(s, &call);
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
@@ -156,6 +178,7 @@
     let service = s.shutdown.service();
     match &call {
         Call::Ready | Call::OutOfService | Call::InService if service.ending() => no(503, "ending"),
+        Call::Ready if !s.tier.may_act() => no(503, "no lease of the tier"),
         Call::Ready if !s.upgrade.accepts() => no(503, s.upgrade.why_not()),
         _ => Reply { status: 200, body: state(s), allow: None },
     }
@@ -165,7 +188,7 @@
 fn carry_out(s: &Rc<Scheduler>, call: &Call) {
     let now = s.clock.now();
     let changed = match call {
-        Call::Ready => false,
+        Call::Ready | Call::Tier | Call::Propose(_) => false,
         Call::OutOfService => s.shutdown.turn(|service| service.drain(now)),
         Call::InService => s.shutdown.turn(|service| service.resume()),
         Call::Offline(host) => s.orders.borrow_mut().offline(host, now),
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -350,7 +350,9 @@
     tracing::trace!("{} {path}", String::from_utf8_lossy(method));
     match path {
         HEALTH if method != b"GET" => return Some(Reply::plain(405, "only GET is served here")),
-        HEALTH if !s.shutdown.service().healthy() => return Some(Reply::plain(503, "out of service")),
+        HEALTH if !s.shutdown.service().healthy() || !s.tier.may_act() => {
+            return Some(Reply::plain(503, "out of service"));
+        }
         HEALTH => return Some(Reply::plain(200, "ready")),
         CALL_BACKS if method != b"POST" => return Some(Reply::plain(405, "only POST is served here")),
         CALL_BACKS => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod send;
 pub mod shares;
 pub mod shutdown;
+pub mod tier;
 pub mod upgrade;
 pub mod wheel;
 
@@ -69,6 +70,8 @@
     pub upgrade: upgrade::Upgrade,
     /// Nested quotas, where the operator has them.
     pub shares: shares::Shares,
+    /// What the tier has agreed on, where the operator has one.
+    pub tier: tier::Tier,
 }
 
 impl Scheduler {
@@ -79,12 +82,12 @@
 }
 
 /// Runs the scheduler until it is told to end.
-pub fn serve(config: Config, quotas: shares::Quotas) -> io::Result<()> {
+pub fn serve(config: Config, quotas: shares::Quotas, tier: Option<tier::Spec>) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config, quotas))
+    LocalSet::new().block_on(&runtime, run(config, quotas, tier))
 }
 
-async fn run(config: Config, quotas: shares::Quotas) -> io::Result<()> {
+async fn run(config: Config, quotas: shares::Quotas, tier: Option<tier::Spec>) -> io::Result<()> {
     // Before anything that takes time: a signal that nobody has taken over ends the program.
     let (hangup, signals) = (reload::take_over()?, shutdown::Signals::new()?);
     if let Some(fault) = &config.passed_over {
@@ -103,6 +106,7 @@
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| named("control", e))?),
         None => None,
     };
+    let (tier, links) = tier::open(tier, &config.name).await.map_err(|e| named("tier", e))?;
     let mut before = upgrade::predecessor(&config).await;
     let socket = before.as_mut().and_then(upgrade::Before::peers);
     let peers = peers::Peers::open(&config, socket).await.map_err(|e| named("peer_listen", e))?;
@@ -125,6 +129,7 @@
         epoch: RefCell::new(epoch),
         clock,
         peers,
+        tier,
         config,
     });
     reload::start(&s, hangup);
@@ -143,6 +148,7 @@
         tracing::info!("control at {}", calls.local_addr()?);
         spawn_local(control::accept(Rc::clone(&s), calls));
     }
+    tier::start(&s, links);
     shutdown::wait(&s, signals).await;
     shutdown::report(&s);
     Ok(())
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -1,7 +1,8 @@
 //! Reload: SIGHUP has the configuration read again: its settings are put in force, and discovery is followed where it now
 //! says.
 
-use super::{Scheduler, discovery, route};
+use super::config::Fresh;
+use super::{Scheduler, discovery, route, tier};
 use loomlb_decide::{Event, Start};
 use std::io;
 use std::rc::Rc;
@@ -37,6 +38,17 @@
 /// Reads the file, and puts all of it in force or nothing.
 fn take(s: &Rc<Scheduler>) -> Result<(), String> {
     let fresh = s.config.reload()?;
+    if s.tier.on() {
+        // Where the tier agrees on settings, a file is a proposal, and only what is this scheduler's own is taken in here.
+        s.group.follow_at(fresh.discovery);
+        tier::propose_settings(s, &fresh.settings());
+        return Ok(());
+    }
+    put_in_force(s, fresh)
+}
+
+/// Puts settings in force, all of them or nothing.
+pub fn put_in_force(s: &Rc<Scheduler>, fresh: Fresh) -> Result<(), String> {
     let book = s.book.borrow();
     let (next, starts) = s.epoch().next((*fresh.epoch).clone(), |class| book.has_class(class.0))?;
     drop(book);
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -267,7 +267,9 @@
         let open = s.book.borrow_mut().flow(self.id).is_some_and(|f| f.reply.is_some());
         let grace = s.epoch().terms.drain_grace / 2;
         let in_time = |t: &Target| t.leaving.is_none_or(|at| s.clock.now() < at + grace);
+        // The lease is looked at last: this is the act that it is for.
         open && s.group.target(self.to).is_some_and(|t| in_time(&t) && !s.orders.borrow().is_out(&t.host))
+            && s.tier.acts()
     }
 
     fn reached(&self, stage: Stage) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,7 +86,7 @@
         spec: operator.quota,
         again: Box::new(move || Operator::load(file.as_deref()).map(|fresh| fresh.quota)),
     };
-    match loomlb_scheduler::serve(config, quotas) {
+    match loomlb_scheduler::serve(config, quotas, operator.tier) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("loomlb: {e}");
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,6 +2,7 @@
 
 use loomlb_keys::{Fault, line_of};
 use loomlb_quota::Spec;
+use loomlb_scheduler::tier::Spec as Tier;
 use serde::Deserialize;
 use std::fmt;
 use std::path::Path;
@@ -14,6 +15,8 @@
     pub(crate) log: Log,
     /// Nested quotas; without them shares are those of the settings.
     pub(crate) quota: Option<Spec>,
+    /// The tier that agrees on settings and orders; without one each scheduler goes by its own file.
+    pub(crate) tier: Option<Tier>,
 }
 
 /// How to log.
@@ -69,6 +72,9 @@
             };
             return Err(fault(key, e.reason));
         }
+        if let Some(Err((key, reason))) = operator.tier.as_ref().map(Tier::check) {
+            return Err(fault(format!("tier.{key}"), reason));
+        }
         Ok(operator)
     }
 }
--- /dev/null
+++ b/tests/tier.rs
@@ -0,0 +1,187 @@
+//! Stories of several processes of the program that agree as a tier, with faults between them. Each ends in the checker
+//! that reads what all of them wrote of what they did.
+
+use loomlb_accord::check::{Verdict, judge};
+use loomlb_emulator::rig::{Options, Rig, Way};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// The bound that these tiers are configured with.
+const BOUND: Duration = Duration::from_secs(3);
+
+fn rig(schedulers: usize, load: bool) -> Rig {
+    let options = Options {
+        program: vec![env!("CARGO_BIN_EXE_loomlb").into()],
+        schedulers,
+        voters: 3,
+        tier: format!("bound_s = {}", BOUND.as_secs()),
+        load: load.then_some(Duration::from_millis(40)),
+        show_logs: std::env::var_os("RUST_LOG").is_some(),
+    };
+    let rig = Rig::start(options).unwrap();
+    assert!((0..schedulers).all(|n| rig.ready(n)), "not all serve");
+    rig
+}
+
+/// A change that contradicts: how often a job may run.
+fn effect(settings: &mut Value, effect: &str) {
+    settings["classes"][1]["effect"] = effect.into();
+}
+
+/// Proposes at one scheduler's second address.
+fn propose(rig: &Rig, n: usize, word: &str) -> Option<(u16, Value)> {
+    let mut settings = rig.settings(n);
+    effect(&mut settings, word);
+    rig.call(n, "PUT /control/tier/settings", &settings.to_string())
+}
+
+/// Every trial ends here. Only a process that is stopped between its look at the lease and its line could seem late.
+fn verdict(rig: &Rig) -> Verdict {
+    let lines = rig.history();
+    let verdict = judge(&lines, Duration::from_millis(250).as_nanos() as u64, |_| true);
+    let stories: Vec<String> = verdict.breaches.iter().map(ToString::to_string).collect();
+    assert!(stories.is_empty(), "{}", stories.join("\n"));
+    verdict
+}
+
+#[test]
+fn a_file_at_one_scheduler_is_in_force_at_all_and_of_two_at_once_one_wins() {
+    let mut rig = rig(5, true);
+    let all = [0, 1, 2, 3, 4];
+    assert!(rig.all_on(&all, 1));
+    rig.reload(3, |s| effect(s, "at_most_once")).unwrap();
+    assert!(rig.until(|rig| rig.all_on(&all, 2)), "{:?}", rig.tier(0));
+    let since = rig.now();
+    // A change that harms nobody is in force at once, the same again changes nothing, and what has no order is refused.
+    let mut harmless = rig.settings(3);
+    harmless["classes"]
+        .as_array_mut()
+        .unwrap()
+        .push(json!({"name": "new", "aim": 1, "give_up": 9, "worth": 1.0, "effect": "idempotent"}));
+    let said = rig.call(1, "PUT /control/tier/settings", &harmless.to_string()).unwrap();
+    assert_eq!((said.0, &said.1["version"], &said.1["in_force"]), (200, &json!(3), &json!(true)));
+    assert!(rig.until(|rig| rig.all_on(&all, 3)));
+    assert_eq!(
+        rig.call(4, "PUT /control/tier/settings", &harmless.to_string()).unwrap().1["why"],
+        "it says the same"
+    );
+    let mut zones = harmless.clone();
+    zones["zones"] = json!(["z", "y"]);
+    let said = rig.call(4, "PUT /control/tier/settings", &zones.to_string()).unwrap();
+    assert_eq!((said.0, &said.1["keys"]), (422, &json!(["zones"])));
+    // A bad file is turned down whole, with its key, before anyone hears of it; so is one for an older version.
+    let mut bad = harmless.clone();
+    bad["classes"][0]["give_up"] = 0.into();
+    let said = rig.call(0, "PUT /control/tier/settings", &bad.to_string()).unwrap();
+    assert!(
+        said.0 == 400 && said.1["why"].as_str().unwrap().starts_with("settings.classes[0].give_up"),
+        "{said:?}"
+    );
+    let said = rig.call(0, "PUT /control/tier/settings/1", &harmless.to_string()).unwrap();
+    assert_eq!((said.0, &said.1["version"]), (409, &json!(3)));
+    // Two files at two schedulers in the same moment.
+    rig.reload(0, |s| effect(s, "deduplicated")).unwrap();
+    rig.reload(4, |s| s["ceilings"]["max_attempts"] = 1.into()).unwrap();
+    assert!(rig.until(|rig| rig.all_on(&all, 4)));
+    // A worker out by hand at one scheduler is out at all, and back likewise.
+    assert!(rig.call(2, "PUT /control/workers/s-00000001/offline", "").unwrap().0 < 300);
+    let out = |rig: &Rig, n: usize| rig.tier(n).is_some_and(|t| t["workers_out"] == json!(["s-00000001"]));
+    assert!(rig.until(|rig| all.iter().all(|n| out(rig, *n))));
+    assert!(rig.call(0, "PUT /control/workers/s-00000001/online", "").unwrap().0 < 300);
+    assert!(rig.until(|rig| all.iter().all(|n| !out(rig, *n))));
+    // Jobs that came after the class had changed ran once, whichever scheduler took them; all were answered.
+    let jobs = rig.jobs();
+    let (before, after): (Vec<_>, Vec<_>) = jobs.iter().partition(|j| j.sent < since);
+    assert!(before.iter().any(|j| j.runs == 2), "nothing was repeated before");
+    assert!(after.iter().filter(|j| j.runs > 0).count() > 20 && after.iter().all(|j| j.runs <= 1));
+    assert!(jobs.iter().filter(|j| j.sent + Duration::from_secs(1) < rig.now()).all(|j| j.status.is_some()));
+    assert!(verdict(&rig).acts > 100);
+}
+
+#[test]
+fn whoever_is_cut_off_steps_out_and_a_version_waits_for_that_and_no_longer() {
+    let rig = rig(5, true);
+    let rest = [0, 1, 2, 3];
+    // Only the way to the voters is cut: answers could still come. Its clients and worker are within reach.
+    (0..3).for_each(|voter| rig.way(4, voter, Way::Cut));
+    let begun = rig.now();
+    assert!(propose(&rig, 1, "at_most_once").unwrap().0 < 300);
+    assert!(rig.until(|rig| rig.all_on(&rest, 2)), "{:?}", rig.tier(0));
+    let took = rig.now() - begun;
+    assert!(took < BOUND + Duration::from_secs(1), "{took:?}");
+    let lone = rig.tier(4).unwrap();
+    assert_eq!((&lone["may_act"], &lone["acting"]), (&json!(false), &json!({"On": 1})));
+    let since = rig.now();
+    std::thread::sleep(Duration::from_millis(400));
+    let lost: Vec<_> =
+        rig.jobs().into_iter().filter(|j| j.scheduler == 4 && j.sent > since && j.status.is_some()).collect();
+    assert!(lost.len() > 3 && lost.iter().all(|j| j.status == Some(503) && j.runs == 0), "{lost:?}");
+    (0..3).for_each(|voter| rig.way(4, voter, Way::Whole));
+    assert!(rig.until(|rig| rig.all_on(&[4], 2)));
+    // Slow replies are borne, and broken connections are opened again.
+    rig.around(4, Way::Slow(Duration::from_millis(150)));
+    (0..3).for_each(|voter| rig.break_links(4, voter));
+    assert!(propose(&rig, 4, "deduplicated").is_some());
+    assert!(rig.until(|rig| rig.all_on(&[0, 1, 2, 3, 4], 3)));
+    verdict(&rig);
+}
+
+#[test]
+fn a_stopped_scheduler_does_not_act_on_what_it_knew_when_it_goes_on() {
+    let mut rig = rig(4, true);
+    // A scheduler, then the leader with a proposal in flight.
+    rig.stop(3);
+    assert!(propose(&rig, 0, "at_most_once").unwrap().0 < 300);
+    assert!(rig.until(|rig| rig.all_on(&[0, 1, 2], 2)), "{:?}", rig.tier(0));
+    rig.go_on(3);
+    assert!(rig.until(|rig| rig.all_on(&[3], 2)));
+    let leader = (0..3).find(|n| rig.tier(*n).is_some_and(|t| t["voter"]["leads"] == true)).unwrap();
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    rig.reload(leader, |s| effect(s, "deduplicated")).unwrap();
+    rig.stop(leader);
+    assert!(
+        rig.until(|rig| others.iter().any(|n| rig.tier(*n).is_some_and(|t| t["voter"]["leads"] == true)))
+    );
+    let newest = rig.tier(others[0]).unwrap();
+    let base = newest["coming"].as_u64().or(newest["version"].as_u64()).unwrap();
+    let mut settings = rig.settings(others[0]);
+    settings["ceilings"]["max_attempts"] = 1.into();
+    let _ = rig.call(others[0], "PUT /control/tier/settings", &settings.to_string());
+    assert!(
+        rig.until(|rig| rig.tier(others[0]).is_some_and(|t| t["version"].as_u64() > Some(base) || base > 2))
+    );
+    rig.go_on(leader);
+    let version = |rig: &Rig, n: usize| rig.tier(n).and_then(|t| t["version"].as_u64());
+    assert!(rig.until(|rig| {
+        let newest = version(rig, others[0]);
+        newest.is_some_and(|v| rig.all_on(&[0, 1, 2, 3], v))
+    }));
+    verdict(&rig);
+}
+
+#[test]
+fn no_majority_no_service_and_what_was_agreed_survives_the_death_of_all_voters() {
+    let mut rig = rig(4, false);
+    assert!(propose(&rig, 2, "at_most_once").unwrap().0 < 300);
+    assert!(rig.until(|rig| rig.all_on(&[0, 1, 2, 3], 2)));
+    (0..3).for_each(|n| rig.kill(n));
+    assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["may_act"] == false)));
+    // One has lost what it wrote: it must not vote as if it never had, and says so by not starting.
+    rig.lose_store(0);
+    (0..3).for_each(|n| rig.launch(n, false).unwrap());
+    assert!(rig.until(|rig| rig.all_on(&[1, 2, 3], 2)), "{:?}", rig.tier(1));
+    assert!(!rig.runs(0));
+    // A process with an older file beside a running one of the same name takes what was agreed.
+    rig.kill(3);
+    rig.launch(3, false).unwrap();
+    assert!(rig.until(|rig| rig.all_on(&[3], 2)));
+    assert_eq!(rig.tier(3).unwrap()["settings"]["classes"][1]["effect"], "at_most_once");
+    assert_eq!(rig.settings(3)["classes"][1]["effect"], "idempotent", "its file is the older one");
+    assert!(
+        rig.until(|rig| [1, 2].iter().any(|n| rig.tier(*n).is_some_and(|t| t["voter"]["leads"] == true)))
+    );
+    let said = propose(&rig, 3, "deduplicated").unwrap();
+    assert!(said.0 < 300, "{said:?}");
+    assert!(rig.until(|rig| rig.all_on(&[1, 2, 3], 3)));
+    verdict(&rig);
+}
