--- a/crates/scheduler/src/tier.rs
+++ b/crates/scheduler/src/tier.rs
@@ -151,7 +151,7 @@
         if self.key.len() < KEY {
             return fault("key", format!("{} bytes; {KEY} at the least", self.key.len()));
         }
-        if self.voters.len() % 2 == 0 || self.voters.len() > 7 {
+        if self.voters.len().is_multiple_of(2) || self.voters.len() > 7 {
             return fault("voter", format!("{} voters; 1, 3, 5 or 7 can agree best", self.voters.len()));
         }
         let names: BTreeSet<&str> = self.voters.iter().map(|v| &*v.name).collect();
@@ -263,6 +263,11 @@
         outbox.more.notify_one();
     }
 
+    /// Something of what this scheduler knows to be agreed.
+    fn seen<T>(&self, of: impl FnOnce(&State) -> T) -> T {
+        of(self.holder.borrow().seen())
+    }
+
     /// Whether a lease holds now on what is in force here.
     fn holds(&self) -> bool {
         let holder = self.holder.borrow();
@@ -697,10 +702,8 @@
 async fn outcome(on: &On, token: u64) -> Option<(Outcome, bool)> {
     let end = tokio::time::Instant::now() + CALL;
     loop {
-        let holder = on.holder.borrow();
-        let known = holder.seen().outcome(token).cloned();
-        let active = holder.seen().active.as_ref().map_or(0, |d| d.version);
-        drop(holder);
+        let (known, active) =
+            on.seen(|seen| (seen.outcome(token).cloned(), seen.active.as_ref().map_or(0, |d| d.version)));
         let over = tokio::time::Instant::now() >= end;
         match known {
             Some(Outcome::Agreed(version)) if version > active && !over => {}
@@ -755,10 +758,9 @@
     if let Err(e) = s.config.with_settings(whole) {
         return (400, json!({"yes": false, "why": e}));
     }
-    let holder = on.holder.borrow();
-    let out = holder.seen().latest().map(|d| d.body.out.clone()).unwrap_or_default();
-    let base = base.unwrap_or(holder.seen().newest());
-    drop(holder);
+    let (out, newest) =
+        on.seen(|seen| (seen.latest().map(|d| d.body.out.clone()).unwrap_or_default(), seen.newest()));
+    let base = base.unwrap_or(newest);
     match propose(on, base, Body::of(&settings, out)) {
         Some(token) => reply(outcome(on, token).await),
         None => (503, json!({"yes": false, "why": "too many proposals wait"})),
@@ -775,9 +777,7 @@
     }
     let end = tokio::time::Instant::now() + CALL;
     loop {
-        let holder = on.holder.borrow();
-        let latest = holder.seen().latest().cloned();
-        drop(holder);
+        let latest = on.seen(|seen| seen.latest().cloned());
         let Some(mut latest) = latest else { return reply(None) };
         let base = latest.version;
         let changes = if out { latest.body.out.insert(host.into()) } else { latest.body.out.remove(host) };
