Schedulers of a tier tell each other of drains and of newer lists; a voter's file has one owner

Need: a list reaches each scheduler at another time, and nothing told who was behind. A process that takes over from another would have written to the same voter's file (disk.rs, open), and going back from the strictest rules was refused, as they had named a key that the settings lacked (rules.rs, careful). Change: with the question for its lease a scheduler says its list's version and which workers the list told it to be leaving; voters tell what is newest and oldest. Who is behind for 1.5 s asks anew; a drain holds at once by others' word, for at most a third of the workers and 3 s after it was said last. The voter's file is locked, and a second process votes once the first has ended.

--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -3,7 +3,7 @@
 use protobuf::Message;
 use raft::eraftpb::{Entry, HardState, Snapshot};
 use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
 /// What stood on a disk.
@@ -65,6 +65,11 @@
     (checksum(bytes[12], payload) == bytes[4..12]).then_some((bytes[12], payload, HEAD + length))
 }
 
+/// Takes the file for this process alone; `WouldBlock` while another has it.
+fn lock(file: &File) -> io::Result<()> {
+    Ok(rustix::fs::flock(file, rustix::fs::FlockOperation::NonBlockingLockExclusive)?)
+}
+
 fn written<M: Message>(message: &M) -> io::Result<Vec<u8>> {
     message.write_to_bytes().map_err(io::Error::other)
 }
@@ -80,9 +85,7 @@
         let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
         let fault =
             |text: String| io::Error::new(io::ErrorKind::InvalidData, format!("{}: {text}", path.display()));
-        let bytes = match std::fs::read(path) {
-            Ok(bytes) => bytes,
-            Err(e) if e.kind() == io::ErrorKind::NotFound && found => Vec::new(),
+        let mut file = match OpenOptions::new().create(found).read(true).append(true).open(path) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => {
                 return Err(fault(
                     "is not there; a voter that has lost it must not vote as if it had never voted. \
@@ -90,8 +93,11 @@
                         .into(),
                 ));
             }
-            Err(e) => return Err(named(e)),
+            opened => opened.map_err(named)?,
         };
+        lock(&file).map_err(named)?;
+        let mut bytes = Vec::new();
+        file.read_to_end(&mut bytes).map_err(named)?;
         let (mut at, mut loaded, mut owned) = (0, Loaded::default(), false);
         while let Some((kind, payload, length)) = first(&bytes[at..]) {
             if !owned && (kind != OWNER || payload != owner.as_bytes()) {
@@ -125,7 +131,6 @@
         {
             return Err(fault(format!("byte {at}: damaged, with good records from byte {next} on")));
         }
-        let file = OpenOptions::new().create(true).append(true).open(path).map_err(named)?;
         file.set_len(at as u64).map_err(named)?;
         let mut log = LogFile { file, path: path.to_path_buf(), owner: owner.as_bytes().to_vec() };
         if !owned {
@@ -179,9 +184,11 @@
         let mut file = File::create(&fresh)?;
         file.write_all(&out)?;
         file.sync_all()?;
+        lock(&file)?;
         std::fs::rename(&fresh, &self.path)?;
         self.sync_directory()?;
-        self.file = OpenOptions::new().append(true).open(&self.path)?;
+        // It goes on where the new file ends; the lock on the old one goes with it.
+        self.file = file;
         Ok(())
     }
 }
@@ -239,6 +246,7 @@
             log.append(&[entry(index)], None).unwrap();
             ends.push(std::fs::metadata(&path).unwrap().len() as usize);
         }
+        drop(log);
         let whole = std::fs::read(&path).unwrap();
         for cut in ends[0]..=whole.len() {
             std::fs::write(&path, &whole[..cut]).unwrap();
@@ -247,6 +255,8 @@
             assert_eq!(loaded.entries.len(), kept, "cut at {cut}");
             // What comes next is not lost behind the torn one.
             log.append(&[entry(kept as u64 + 1)], None).unwrap();
+            assert_eq!(LogFile::open(&path, "v of t", false).unwrap_err().kind(), io::ErrorKind::WouldBlock);
+            drop(log);
             assert_eq!(LogFile::open(&path, "v of t", false).unwrap().1.entries.len(), kept + 1);
         }
         let mut damaged = whole.clone();
@@ -264,6 +274,7 @@
         log.replace(&picture, &[entry(5)], Some(&HardState { term: 3, vote: 2, ..HardState::default() }))
             .unwrap();
         log.append(&[entry(6), entry(5)], None).unwrap();
+        drop(log);
         let (_, loaded) = LogFile::open(&path, "v of t", false).unwrap();
         assert_eq!(
             (loaded.entries.len(), loaded.hard.vote, loaded.snapshot.unwrap().get_metadata().index),
--- a/crates/accord/src/frames.rs
+++ b/crates/accord/src/frames.rs
@@ -4,6 +4,7 @@
 //! is counted, so that none can be changed, left out, said again or carried over to another connection.
 
 use crate::Acting;
+use crate::lists::{Mine, Theirs};
 use crate::state::{Command, State};
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +42,8 @@
         acting: Option<Acting>,
         /// The state that it has.
         index: u64,
+        /// Its list of workers.
+        list: Mine,
     },
     /// A voter's answer.
     Answer {
@@ -50,6 +53,8 @@
         yes: bool,
         /// The state, if it is newer than the asker's.
         news: Option<State>,
+        /// The lists of all.
+        lists: Theirs,
     },
     /// A scheduler proposes; it asks again until it sees the outcome.
     Propose(Command),
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -4,7 +4,7 @@
 //! document ([`state`]) by the Raft library; [`promises`] is what a voter has promised to whom, [`holder`] what a
 //! scheduler may act on now, [`timing`] the figures that both go by, with their proof in docs/design/0006-accord.md.
 //! [`rules`] tells which changes contradict each other and what is the strictest of two documents; [`check`] reads the
-//! histories of all schedulers and says where an invariant broke. [`frames`] are the words on the tier link.
+//! histories of all schedulers and says where an invariant broke; [`lists`] tells how far apart their lists of workers are. [`frames`] are the words on the tier link.
 
 #![forbid(unsafe_code)]
 
@@ -13,6 +13,7 @@
 pub mod disk;
 pub mod frames;
 pub mod holder;
+pub mod lists;
 pub mod promises;
 pub mod rules;
 pub mod state;
--- a/crates/accord/src/rules.rs
+++ b/crates/accord/src/rules.rs
@@ -233,8 +233,12 @@
         class["effect"] = ONCE.into();
     }
     if let Some(ceilings) = settings["ceilings"].as_object_mut() {
-        ceilings.insert("max_attempts".into(), 1.into());
-        ceilings.insert("second_copies".into(), false.into());
+        // What is not said is as strict already.
+        for (key, strict) in [("max_attempts", Value::from(1)), ("second_copies", false.into())] {
+            if let Some(value) = ceilings.get_mut(key) {
+                *value = strict;
+            }
+        }
     }
     Body { settings, out: body.out.clone() }
 }
--- a/crates/emulator/src/rig.rs
+++ b/crates/emulator/src/rig.rs
@@ -35,11 +35,14 @@
 /// The key of every tier here.
 const KEY: &str = "a key for trials on one machine";
 
+/// Rates of the schedulers' clocks, as far apart as the tier's figures allow.
+const CLOCKS: [f64; 3] = [0.99, 1.0, 1.01];
+
 /// Rigs of this process, so that each has addresses of its own.
 static RIGS: AtomicUsize = AtomicUsize::new(0);
 
 /// The workers.
-const HOSTS: [&str; 2] = ["s-00000001", "s-00000002"];
+const HOSTS: [&str; 3] = ["s-00000001", "s-00000002", "s-00000003"];
 
 /// How a rig is built.
 #[derive(Clone, Debug)]
@@ -80,8 +83,10 @@
     pub status: Option<u16>,
     /// Its client waits no more.
     pub over: bool,
-    /// How often the worker was sent it.
+    /// How often a worker was sent it,
     pub runs: u32,
+    /// and which was the last.
+    pub worker: usize,
 }
 
 struct Shared {
@@ -92,10 +97,15 @@
     /// A link's connections end when its number changes.
     broken: Vec<AtomicU64>,
     jobs: Mutex<HashMap<String, Job>>,
+    /// Each scheduler's list: its version, and which worker is leaving.
+    lists: Mutex<Vec<(u64, Option<usize>)>>,
     over: AtomicBool,
 }
 
 impl Shared {
+    fn lists(&self) -> MutexGuard<'_, Vec<(u64, Option<usize>)>> {
+        self.lists.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
     fn jobs(&self) -> MutexGuard<'_, HashMap<String, Job>> {
         self.jobs.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
@@ -141,8 +151,8 @@
 struct Places {
     /// Proxies of a pair: from which scheduler, to which voter, listening.
     links: Vec<(usize, usize, TcpListener)>,
-    /// Two for each scheduler: a job that fails at one may go to the other.
-    workers: Vec<[TcpListener; 2]>,
+    /// Some for each scheduler: a job that fails at one may go to the other.
+    workers: Vec<[TcpListener; HOSTS.len()]>,
     discoveries: Vec<TcpListener>,
     /// Where each scheduler listens for clients, staff and the tier.
     own: Vec<[SocketAddr; 3]>,
@@ -159,7 +169,11 @@
             *at = wire::bind(34, rig + i, k).await?.local_addr()?;
         }
         places.own.push(own);
-        places.workers.push([wire::bind(35, rig + i, 0).await?, wire::bind(35, rig + i, 2).await?]);
+        places.workers.push([
+            wire::bind(35, rig + i, 0).await?,
+            wire::bind(35, rig + i, 2).await?,
+            wire::bind(35, rig + i, 3).await?,
+        ]);
         places.discoveries.push(wire::bind(35, rig + i, 1).await?);
         for j in (0..options.voters).filter(|j| *j != i) {
             places.links.push((i, j, wire::bind(36, rig + i, j).await?));
@@ -178,6 +192,7 @@
             ways: (0..count * count).map(|_| AtomicU64::new(0)).collect(),
             broken: (0..count * count).map(|_| AtomicU64::new(0)).collect(),
             jobs: Mutex::default(),
+            lists: Mutex::new(vec![(1, None); count]),
             over: AtomicBool::new(false),
         });
         let (send, receive) = mpsc::channel();
@@ -192,8 +207,12 @@
                     Ok(places) => places,
                     Err(e) => return drop(send.send(Err(e))),
                 };
-                let told = nodes(&with, &places);
-                stand(&theirs, &with, places);
+                let dials = match dials(&places) {
+                    Ok(dials) => dials,
+                    Err(e) => return drop(send.send(Err(e))),
+                };
+                let told = nodes(&with, &places, &dials);
+                stand(&theirs, &with, places, dials);
                 if send.send(told).is_err() {
                     return;
                 }
@@ -221,7 +240,8 @@
         std::fs::write(&config, self.nodes[n].config.to_string())?;
         let store = self.path(n, "log");
         let text = format!(
-            "[tier]\nfound = {found}\nstore = {store:?}\nhistory = {:?}\n{}\n{}",
+            "[tier]\nfound = {found}\nstore = {store:?}\ntrial_clock = {}\nhistory = {:?}\n{}\n{}",
+            CLOCKS[n % CLOCKS.len()],
             self.path(n, "history"),
             self.options.tier,
             self.nodes[n].operator
@@ -247,6 +267,11 @@
         Ok(())
     }
 
+    /// The file of a voter.
+    pub fn store(&self, n: usize) -> PathBuf {
+        self.path(n, "log")
+    }
+
     /// Loses what a voter has written.
     pub fn lose_store(&self, n: usize) {
         let _ = std::fs::remove_file(self.path(n, "log"));
@@ -362,6 +387,12 @@
         self.nodes[n].control
     }
 
+    /// One scheduler's discovery has a newer list, in which a worker may be leaving.
+    pub fn list(&self, n: usize, leaving: Option<usize>) {
+        let list = &mut self.shared.lists()[n];
+        *list = (list.0 + 1, leaving);
+    }
+
     /// What a scheduler says of the tier.
     pub fn tier(&self, n: usize) -> Option<Value> {
         self.call(n, "GET /control/tier", "").map(|c| c.1)
@@ -402,18 +433,11 @@
     }
 }
 
-fn nodes(options: &Options, places: &Places) -> io::Result<Vec<Node>> {
+fn nodes(options: &Options, places: &Places, dials: &[[SocketAddr; HOSTS.len()]]) -> io::Result<Vec<Node>> {
     let mut nodes = Vec::new();
     for i in 0..options.schedulers {
         let [listen, control, tier] = places.own[i];
-        let mut hosts = Vec::new();
-        for (host, worker) in HOSTS.iter().zip(&places.workers[i]) {
-            hosts.push(
-                json!({"host": host, "dial": worker.local_addr()?.to_string(), "site": "z", "class": "k",
-                "block": 0, "health": "active", "share": 1.0, "born_ms": 0}),
-            );
-        }
-        let known = json!({"seq": 1, "whole": true, "hosts": hosts});
+        let known = json!({"seq": 1, "whole": true, "hosts": hosts(&dials[i], None)});
         let config = json!({"name": format!("n{i}"), "listen": listen.to_string(), "control": control.to_string(),
             "discovery": places.discoveries[i].local_addr()?.to_string(), "seed": format!("{i:x}"),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "known": known, "settings": settings()});
@@ -434,19 +458,24 @@
     Ok(nodes)
 }
 
+/// Where each scheduler's workers listen.
+fn dials(places: &Places) -> io::Result<Vec<[SocketAddr; HOSTS.len()]>> {
+    places.workers.iter().map(|[a, b, c]| Ok([a.local_addr()?, b.local_addr()?, c.local_addr()?])).collect()
+}
+
 /// Starts all stand-ins.
-fn stand(shared: &Arc<Shared>, options: &Options, places: Places) {
+fn stand(shared: &Arc<Shared>, options: &Options, places: Places, dials: Vec<[SocketAddr; HOSTS.len()]>) {
     for (from, to, listener) in places.links {
         spawn_local(proxy(Arc::clone(shared), from, to, listener, places.own[to][2]));
     }
+    for (i, (listener, dials)) in places.discoveries.into_iter().zip(dials).enumerate() {
+        spawn_local(discover(Arc::clone(shared), i, listener, dials));
+    }
     for (i, listeners) in places.workers.into_iter().enumerate() {
         for (host, listener) in HOSTS.into_iter().zip(listeners) {
             spawn_local(work(Arc::clone(shared), host, listener, places.own[i][0]));
         }
     }
-    for listener in places.discoveries {
-        spawn_local(discover(listener));
-    }
     if let Some(every) = options.load {
         for (i, own) in places.own.iter().enumerate() {
             spawn_local(clients(Arc::clone(shared), i, own[0], every));
@@ -502,18 +531,43 @@
 
 // ---- stand-ins
 
-/// One list, and then nothing new.
-async fn discover(listener: TcpListener) {
+/// The entries of a scheduler's list.
+fn hosts(dials: &[SocketAddr; HOSTS.len()], leaving: Option<usize>) -> Vec<Value> {
+    let health = |at| if leaving == Some(at) { "leaving" } else { "active" };
+    let entry = |(at, (host, dial)): (usize, (&&str, &SocketAddr))| {
+        json!({"host": host, "dial": dial.to_string(), "site": "z", "class": "k", "block": 0,
+            "health": health(at), "share": 1.0, "born_ms": 0})
+    };
+    HOSTS.iter().zip(dials).enumerate().map(entry).collect()
+}
+
+/// Discovery of one scheduler: a call is answered at once, a watch when there is something newer or after 4 s.
+async fn discover(
+    shared: Arc<Shared>,
+    scheduler: usize,
+    listener: TcpListener,
+    dials: [SocketAddr; HOSTS.len()],
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        spawn_local(wire::serve(
-            stream,
-            |_request: Request<Incoming>| async {
-                tokio::time::sleep(Duration::from_secs(4)).await;
-                Some(wire::response(200, json!({"seq": 1, "whole": false, "hosts": []}).to_string()))
-            },
-            wire::silence_as_unit(),
-        ));
+        let shared = Arc::clone(&shared);
+        let answer = move |request: Request<Incoming>| {
+            let shared = Arc::clone(&shared);
+            async move {
+                let query = request.uri().query().unwrap_or("");
+                let from = query.split('&').find_map(|p| p.strip_prefix("from=")?.parse::<u64>().ok());
+                let end = Instant::now() + Duration::from_secs(4);
+                let list = || shared.lists()[scheduler];
+                while from.is_some_and(|from| list().0 <= from) && Instant::now() < end {
+                    tokio::time::sleep(LOOK).await;
+                }
+                let (seq, leaving) = list();
+                let whole = from.is_none_or(|from| from != seq);
+                let entries = if whole { hosts(&dials, leaving) } else { Vec::new() };
+                Some(wire::response(200, json!({"seq": seq, "whole": whole, "hosts": entries}).to_string()))
+            }
+        };
+        spawn_local(wire::serve(stream, answer, wire::silence_as_unit()));
     }
 }
 
@@ -544,6 +598,7 @@
     wire::whole(request.into_body()).await?;
     if let Some(job) = shared.jobs().get_mut(&id) {
         job.runs += 1;
+        job.worker = HOSTS.iter().position(|h| *h == host).unwrap_or(0);
     }
     spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -235,9 +235,9 @@
     match act.what {
         What::Offline => _ = rig.call(n, "PUT /control/workers/s-00000002/online", ""),
         What::Cut | What::CutOut | What::CutIn | What::Slow => {
-            if !still(&[What::Cut, What::CutOut, What::CutIn, What::Slow]) {
-                rig.around(n, Way::Whole);
-            }
+            let links = [What::Cut, What::CutOut, What::CutIn, What::Slow];
+            let way = if still(&links) { None } else { Some(Way::Whole) };
+            way.into_iter().for_each(|way| rig.around(n, way));
         }
         What::Stop if !still(&[What::Stop]) => rig.go_on(n),
         What::Kill if !rig.runs(n) => rig.launch(n, false)?,
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -7,6 +7,7 @@
 use loomlb_accord::disk::MemDisk;
 use loomlb_accord::frames::Word;
 use loomlb_accord::holder::Holder;
+use loomlb_accord::lists::{Mine, Theirs};
 use loomlb_accord::promises::Promises;
 use loomlb_accord::rules::Body;
 use loomlb_accord::state::{Command, Outcome, State};
@@ -418,7 +419,7 @@
         let (number, acting) = self.nodes[n].holder.ask(now);
         let index = self.nodes[n].holder.seen().index;
         for voter in 0..self.trial.voters {
-            self.send(n, voter, Word::Ask { number, acting, index });
+            self.send(n, voter, Word::Ask { number, acting, index, list: Mine::default() });
         }
         let waiting = self.nodes[n].proposal.clone();
         if let Some(Command::Propose { token, .. }) = &waiting {
@@ -467,7 +468,7 @@
         let now = self.clock(to);
         let process = (format!("n{from}"), from_run);
         match word {
-            Word::Ask { number, acting, index } => {
+            Word::Ask { number, acting, index, .. } => {
                 let answer = self.voter(to, |agreement, promises, now| {
                     let state = agreement.state();
                     let yes = agreement.settled()
@@ -478,10 +479,10 @@
                 if let Some((yes, news)) = answer
                     && self.nodes[from].run == from_run
                 {
-                    self.send(to, from, Word::Answer { number, yes, news });
+                    self.send(to, from, Word::Answer { number, yes, news, lists: Theirs::default() });
                 }
             }
-            Word::Answer { number, yes, news } => self.answer(to, from, now, (number, yes, news)),
+            Word::Answer { number, yes, news, .. } => self.answer(to, from, now, (number, yes, news)),
             Word::Propose(command) => {
                 self.voter(to, |agreement, _, _| agreement.propose(&command));
                 self.turn(to)?;
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -3,6 +3,7 @@
 use super::clock::from_unix_ms;
 use super::http::{Kind, Wire};
 use super::{Scheduler, route};
+use loomlb_accord::lists::{LEAVING, Leaving, Mine};
 use loomlb_control::orders::{Effect, Orders};
 use loomlb_decide::boot::Names;
 use loomlb_decide::{CellId, Event, ListKind, Nanos, Worker, WorkerId, WorkerState};
@@ -21,6 +22,10 @@
 const PATIENCE: Duration = Duration::from_millis(1000);
 /// Pause before another try after a failed one.
 const RETRY: Duration = Duration::from_millis(100);
+/// A drain is told to other schedulers for so long, in nanoseconds.
+const TOLD: Nanos = 10_000_000_000;
+/// Others' word that a target is leaving holds for so long after it was said last, in nanoseconds.
+const HEARD: Nanos = 3_000_000_000;
 /// Targets that have left are remembered for this long, for what is still out there.
 const REMEMBER: Nanos = 60_000_000_000;
 
@@ -33,6 +38,8 @@
     pub dial: SocketAddr,
     /// When it was told to be draining or gone, if it is.
     pub leaving: Option<Nanos>,
+    /// Since when other schedulers say that it is leaving, if our own list does not say so yet.
+    hearsay: Option<Nanos>,
     /// Discovery's own word on it, as the module reads it,
     word: Worker,
     /// and as it was written.
@@ -126,6 +133,19 @@
         self.address.get()
     }
 
+    /// What this scheduler tells others of its list: the version, and what is leaving by discovery's own word.
+    pub fn mine(&self, now: Nanos) -> Mine {
+        let targets = self.targets.borrow();
+        let lately = targets.values().filter(|t| t.leaving.is_some_and(|at| now < at + TOLD));
+        let leaving = lately.map(|t| Leaving { host: t.host.to_string(), born_ms: t.said.born_ms });
+        Mine { version: self.seq.get().unwrap_or(0), leaving: leaving.take(LEAVING).collect() }
+    }
+
+    /// Others have a newer list: the whole of it is asked for at once.
+    pub fn ask_anew(&self) {
+        self.moved.notify_one();
+    }
+
     /// Discovery answers at this address from now on.
     pub fn follow_at(&self, address: SocketAddr) {
         self.address.set(Some(address));
@@ -135,7 +155,10 @@
 
 /// What the module is told of a target: discovery's word joined with what staff ordered.
 fn effective(orders: &Orders, target: &Target) -> Worker {
-    let word = target.word.clone();
+    let mut word = target.word.clone();
+    if target.hearsay.is_some() && word.state == WorkerState::Ready {
+        word.state = WorkerState::Draining;
+    }
     match orders.effect(&target.host, word.started) {
         Effect::AsListed => word,
         Effect::Out if word.state == WorkerState::Gone => word,
@@ -154,6 +177,50 @@
     route::feed(s, Event::Workers { kind: ListKind::Partial, entries: vec![entry] });
 }
 
+/// Another scheduler's list says that a target is leaving in the life that we know: it counts as draining until our own
+/// list says what it is, or the word is over. True if that is news. Words never take more than a third of the targets.
+pub fn hearsay(s: &Rc<Scheduler>, host: &str, born_ms: u64) -> bool {
+    let (now, id) = (s.clock.now(), number(host));
+    let mut targets = s.group.targets.borrow_mut();
+    let (all, said) = (targets.len(), targets.values().filter(|t| t.hearsay.is_some()).count());
+    let Some(target) = targets.get_mut(&id).filter(|t| &*t.host == host && t.leaving.is_none()) else {
+        return false;
+    };
+    if target.said.born_ms != born_ms {
+        return false;
+    }
+    if target.hearsay.is_some() {
+        target.hearsay = Some(now);
+        return false;
+    }
+    if (said + 1) * 3 > all {
+        return false;
+    }
+    target.hearsay = Some(now);
+    let entry = effective(&s.orders.borrow(), target);
+    drop(targets);
+    s.pool.release(id);
+    route::feed(s, Event::Workers { kind: ListKind::Partial, entries: vec![entry] });
+    true
+}
+
+/// Words of others that were not said again for a while are over: the targets are as our own list says.
+pub fn forget_hearsay(s: &Rc<Scheduler>) {
+    let now = s.clock.now();
+    let mut targets = s.group.targets.borrow_mut();
+    let over = targets.values_mut().filter(|t| t.hearsay.is_some_and(|at| now >= at + HEARD));
+    let entries: Vec<Worker> = over
+        .map(|target| {
+            target.hearsay = None;
+            effective(&s.orders.borrow(), target)
+        })
+        .collect();
+    drop(targets);
+    if !entries.is_empty() {
+        route::feed(s, Event::Workers { kind: ListKind::Partial, entries });
+    }
+}
+
 /// Zones and kinds may have other numbers since the settings have changed: the module is told of all targets anew.
 pub fn renamed(s: &Rc<Scheduler>) {
     let epoch = s.epoch();
@@ -200,6 +267,7 @@
             }
         };
         let known = targets.get(&id);
+        let hearsay = known.filter(|t| t.said.born_ms == host.born_ms).and_then(|t| t.hearsay);
         if known.is_some_and(|t| *t.host != *host.host) {
             tracing::error!("discovery: {}: shares its number with another target, left out", host.host);
             continue;
@@ -227,7 +295,8 @@
         let worker =
             Worker { cell: CellId(host.block), state, weight: host.share, started, ..Worker::new(id) };
         let word = epoch.names.worker(&host.site, &host.class, worker);
-        let target = Target { host: host.host.as_str().into(), dial, leaving, word, said: Rc::new(host) };
+        let target =
+            Target { host: host.host.as_str().into(), dial, leaving, hearsay, word, said: Rc::new(host) };
         entries.push(effective(&s.orders.borrow(), &target));
         targets.insert(id, target);
     }
--- a/crates/scheduler/src/tier.rs
+++ b/crates/scheduler/src/tier.rs
@@ -6,12 +6,13 @@
 //! other; at a voter the listener for those links; and the way of a version into force.
 
 use super::config::Fresh;
-use super::{Scheduler, control, reload};
+use super::{Scheduler, control, discovery, reload};
 use loomlb_accord::agreement::{self, Agreement, TICK};
 use loomlb_accord::check::{Event as Did, Line};
 use loomlb_accord::disk::LogFile;
 use loomlb_accord::frames::{self, Channel, FIRST, FORMAT, Nonce, Word};
 use loomlb_accord::holder::Holder;
+use loomlb_accord::lists::{Lists, Theirs};
 use loomlb_accord::promises::{Process, Promises};
 use loomlb_accord::rules::{self, Body};
 use loomlb_accord::state::{Command, Outcome, State};
@@ -40,6 +41,10 @@
 const LINKS: usize = 4096;
 /// A link on which nothing comes for so long is opened anew, and a greeting takes no longer.
 const SILENT: Duration = Duration::from_secs(2);
+/// Pause before another look whether the process that votes has ended.
+const SUCCEED: Duration = Duration::from_millis(300);
+/// A list that is behind another scheduler's for so long is asked for anew, in nanoseconds.
+const BEHIND: Nanos = 1_500_000_000;
 /// Pause before another try to open a link.
 const AGAIN: Duration = Duration::from_millis(100);
 /// A call at the second address waits so long for its version to be in force.
@@ -183,6 +188,7 @@
 struct Voter {
     agreement: Agreement,
     promises: Promises,
+    lists: Lists,
     log: LogFile,
 }
 
@@ -215,6 +221,9 @@
     proposals: RefCell<BTreeMap<u64, Command>>,
     boxes: Vec<Outbox>,
     hurry: Notify,
+    /// The newest and the oldest list in use, and since when this one is behind.
+    lists: Cell<(u64, u64)>,
+    behind: Cell<Nanos>,
     history: RefCell<Option<(File, usize)>>,
     counts: Counts,
 }
@@ -226,6 +235,8 @@
     links: Cell<usize>,
     faults: Cell<u64>,
     unwritten: Cell<u64>,
+    hearsay: Cell<u64>,
+    asked_again: Cell<u64>,
 }
 
 fn more(count: &Cell<u64>) {
@@ -318,15 +329,11 @@
     let started = Instant::now();
     let (mut links, mut voter) = (None, None);
     if let Some(number) = number {
-        let needed = |key: &str| io::Error::other(format!("{key}: missing, and {name:?} is a voter"));
-        let at = spec.listen.ok_or_else(|| needed("listen"))?;
-        let store = spec.store.as_ref().ok_or_else(|| needed("store"))?;
-        links = Some(TcpListener::bind(at).await?);
-        let names: Vec<&str> = spec.voters.iter().map(|v| &*v.name).collect();
-        let owner = format!("{name} of {}", names.join(", "));
-        let (log, loaded) = LogFile::open(store, &owner, spec.found)?;
-        let agreement = Agreement::new(number, spec.voters.len() as u64, loaded)?;
-        voter = Some(Voter { agreement, promises: Promises::new(timing, 0), log });
+        match vote_as(&spec, name, number, timing, 0) {
+            Ok((listener, seat)) => (links, voter) = (Some(listener), Some(seat)),
+            Err(e) if elsewhere(&e) => tracing::warn!("tier: {e}; another process of {name:?} votes"),
+            Err(e) => return Err(e),
+        }
     }
     let history = match &spec.history {
         Some(path) => Some((File::options().create(true).append(true).open(path)?, 0)),
@@ -348,6 +355,8 @@
             proposals: RefCell::default(),
             boxes: spec.voters.iter().map(|_| Outbox::default()).collect(),
             hurry: Notify::new(),
+            lists: Cell::default(),
+            behind: Cell::new(Nanos::MAX / 2),
             history: RefCell::new(history),
             counts: Counts::default(),
             spec,
@@ -356,12 +365,61 @@
     ))
 }
 
+/// Whether a voter's file or address is taken, by an earlier process of the same scheduler: it votes until it ends.
+fn elsewhere(e: &io::Error) -> bool {
+    matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::AddrInUse)
+}
+
+/// Takes a voter's file and address.
+fn vote_as(
+    spec: &Spec,
+    name: &str,
+    number: u64,
+    timing: Timing,
+    now: Nanos,
+) -> io::Result<(TcpListener, Voter)> {
+    let needed = |key: &str| io::Error::other(format!("{key}: missing, and {name:?} is a voter"));
+    let at = spec.listen.ok_or_else(|| needed("listen"))?;
+    let store = spec.store.as_ref().ok_or_else(|| needed("store"))?;
+    let names: Vec<&str> = spec.voters.iter().map(|v| &*v.name).collect();
+    let owner = format!("{name} of {}", names.join(", "));
+    let (log, loaded) = LogFile::open(store, &owner, spec.found)?;
+    let listener = std::net::TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    let agreement = Agreement::new(number, spec.voters.len() as u64, loaded)?;
+    Ok((
+        TcpListener::from_std(listener)?,
+        Voter { agreement, promises: Promises::new(timing, now), lists: Lists::default(), log },
+    ))
+}
+
+/// Takes over from the process of this scheduler that votes, once it has ended.
+async fn succeed(s: Rc<Scheduler>, number: u64) {
+    let Some(on) = &s.tier.0 else { return };
+    loop {
+        tokio::time::sleep(SUCCEED).await;
+        match vote_as(&on.spec, &on.name, number, on.timing, on.now()) {
+            Ok((listener, seat)) => {
+                tracing::info!("tier: this process votes now");
+                *on.voter.borrow_mut() = Some(seat);
+                spawn_local(accept(Rc::clone(&s), listener));
+                spawn_local(vote(Rc::clone(&s)));
+                return;
+            }
+            Err(e) if elsewhere(&e) => {}
+            Err(e) => return tracing::error!("tier: {e}; this process does not vote"),
+        }
+    }
+}
+
 /// Starts the links and the timers, where there is a tier.
 pub fn start(s: &Rc<Scheduler>, listener: Option<TcpListener>) {
     let Some(on) = &s.tier.0 else { return };
     if let Some(listener) = listener {
         spawn_local(accept(Rc::clone(s), listener));
         spawn_local(vote(Rc::clone(s)));
+    } else if let Some(number) = on.number {
+        spawn_local(succeed(Rc::clone(s), number));
     }
     for voter in (0..on.boxes.len()).filter(|v| on.number != Some(*v as u64 + 1)) {
         spawn_local(link(Rc::clone(s), voter));
@@ -433,8 +491,9 @@
 ) -> io::Result<()> {
     let mut bytes = Vec::new();
     loop {
-        if let Word::Answer { number, yes, news } = next(&mut from, &mut channel, &mut bytes).await? {
+        if let Word::Answer { number, yes, news, lists } = next(&mut from, &mut channel, &mut bytes).await? {
             answered(s, voter, number, yes, news);
+            compare(s, &lists);
         }
     }
 }
@@ -512,14 +571,15 @@
     let on = s.tier.0.as_ref()?;
     let now = on.now();
     let mut held = on.voter.borrow_mut();
-    let Voter { agreement, promises, .. } = held.as_mut()?;
+    let Voter { agreement, promises, lists, .. } = held.as_mut()?;
     let reply = match word {
-        Word::Ask { number, acting, index } => {
+        Word::Ask { number, acting, index, list } => {
+            lists.hear(now, who, &list);
             let state = agreement.state();
             let yes = agreement.settled()
                 && acting.is_some_and(|acting| promises.ask(now, who, number, acting, state));
             let news = (state.index > index).then(|| state.clone());
-            return Some(Word::Answer { number, yes, news });
+            return Some(Word::Answer { number, yes, news, lists: lists.tell(now) });
         }
         Word::Propose(command @ Command::Propose { .. }) => {
             agreement.propose(&command);
@@ -586,6 +646,7 @@
     tokio::time::sleep(pause.mul_f64(random().unwrap_or(0) as f64 / u64::MAX as f64)).await;
     loop {
         look(&s, on);
+        discovery::forget_hearsay(&s);
         ask(&s, on);
         settle(&s, on, turn);
         turn += 1;
@@ -601,11 +662,12 @@
     let (number, acting) = on.holder.borrow_mut().ask(on.now());
     let index = on.holder.borrow().seen().index;
     for voter in 0..on.boxes.len() {
-        let word = Word::Ask { number, acting, index };
+        let word = Word::Ask { number, acting, index, list: s.group.mine(s.clock.now()) };
         if on.number == Some(voter as u64 + 1) {
             let who = (on.name.clone(), on.process);
-            if let Some(Word::Answer { number, yes, news }) = voter_hears(s, &who, on.number, word) {
+            if let Some(Word::Answer { number, yes, news, lists }) = voter_hears(s, &who, on.number, word) {
                 answered(s, voter, number, yes, news);
+                compare(s, &lists);
             }
         } else {
             on.put(voter, word);
@@ -623,6 +685,27 @@
     look(s, on);
 }
 
+/// What other schedulers have been told of the workers: whoever is behind asks discovery, and takes their word for a drain.
+fn compare(s: &Rc<Scheduler>, theirs: &Theirs) {
+    let Some(on) = &s.tier.0 else { return };
+    let (now, mine) = (s.clock.now(), s.group.mine(s.clock.now()).version);
+    on.lists.set((theirs.newest, theirs.oldest));
+    for leaving in &theirs.leaving {
+        if discovery::hearsay(s, &leaving.host, leaving.born_ms) {
+            more(&on.counts.hearsay);
+        }
+    }
+    if mine >= theirs.newest {
+        return on.behind.set(now);
+    }
+    // News is on its way for a while; what does not come by itself is asked for, and not again and again.
+    if now >= on.behind.get() + BEHIND {
+        on.behind.set(now);
+        more(&on.counts.asked_again);
+        s.group.ask_anew();
+    }
+}
+
 /// Sees whether the lease has ended or begun since the last look.
 fn look(s: &Rc<Scheduler>, on: &On) {
     let holds = on.holds();
@@ -840,8 +923,10 @@
         "coming": seen.coming.as_ref().map(|d| d.version), "workers_out": *on.out.borrow(),
         "settings": seen.active.as_ref().map(|d| &d.body.settings),
         "history": seen.history, "voter": vote,
+        "lists": {"mine": s.group.mine(s.clock.now()).version, "newest": on.lists.get().0, "oldest": on.lists.get().1},
         "counts": {"lapses": on.counts.lapses.get(), "words_pushed_out": on.counts.crowded.get(),
             "link_faults": on.counts.faults.get(), "links": on.counts.links.get(),
-            "history_unwritten": on.counts.unwritten.get()},
+            "history_unwritten": on.counts.unwritten.get(), "drains_by_hearsay": on.counts.hearsay.get(),
+            "lists_asked_anew": on.counts.asked_again.get()},
     })
 }
--- a/tests/tier.rs
+++ b/tests/tier.rs
@@ -2,6 +2,7 @@
 //! that reads what all of them wrote of what they did.
 
 use loomlb_accord::check::{Verdict, judge};
+use loomlb_accord::disk::LogFile;
 use loomlb_emulator::rig::{Options, Rig, Way};
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -10,11 +11,15 @@
 const BOUND: Duration = Duration::from_secs(3);
 
 fn rig(schedulers: usize, load: bool) -> Rig {
+    rig_with(schedulers, load, "")
+}
+
+fn rig_with(schedulers: usize, load: bool, words: &str) -> Rig {
     let options = Options {
         program: vec![env!("CARGO_BIN_EXE_loomlb").into()],
         schedulers,
         voters: 3,
-        tier: format!("bound_s = {}", BOUND.as_secs()),
+        tier: format!("bound_s = {}\n{words}", BOUND.as_secs()),
         load: load.then_some(Duration::from_millis(40)),
         show_logs: std::env::var_os("RUST_LOG").is_some(),
     };
@@ -166,6 +171,72 @@
     verdict(&rig);
 }
 
+#[test]
+fn where_staff_prefer_it_a_scheduler_without_a_lease_goes_on_by_the_strictest_rules() {
+    let rig = rig_with(4, true, "on_lapse = \"strict\"");
+    rig.around(3, Way::Cut);
+    assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["lease_left_s"] == 0.0)));
+    std::thread::sleep(Duration::from_millis(300));
+    let since = rig.now();
+    std::thread::sleep(Duration::from_secs(1));
+    let jobs: Vec<_> = rig.jobs().into_iter().filter(|j| j.scheduler == 3 && j.sent > since).collect();
+    assert!(jobs.iter().filter(|j| j.status == Some(200)).count() > 5, "{jobs:?}");
+    assert!(jobs.iter().all(|j| j.runs <= 1), "a job that may have become unsafe is not repeated");
+    rig.around(3, Way::Whole);
+    assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["lease_left_s"].as_f64() > Some(0.0))));
+    let since = rig.now();
+    assert!(rig.until(|rig| rig.jobs().iter().any(|j| j.scheduler == 3 && j.sent > since && j.runs == 2)));
+    verdict(&rig);
+}
+
+#[test]
+fn a_drain_that_one_has_heard_of_is_kept_by_all_and_who_is_behind_asks() {
+    let rig = rig(4, true);
+    let sent_to = |rig: &Rig, n: usize, since: Duration, worker| {
+        rig.jobs()
+            .iter()
+            .filter(|j| j.scheduler == n && j.sent > since && j.runs > 0 && j.worker == worker)
+            .count()
+    };
+    // Only the first scheduler's list tells that a worker is leaving.
+    rig.list(0, Some(1));
+    let count = |rig: &Rig, what: &str| rig.tier(3).and_then(|t| t["counts"][what].as_u64()).unwrap_or(0);
+    assert!(rig.until(|rig| count(rig, "drains_by_hearsay") == 1));
+    assert_eq!(rig.tier(3).unwrap()["lists"], json!({"mine": 1, "newest": 2, "oldest": 1}));
+    let since = rig.now() + Duration::from_millis(300);
+    assert!(rig.until(|rig| sent_to(rig, 3, since, 0) + sent_to(rig, 3, since, 2) > 20));
+    assert_eq!(sent_to(&rig, 3, since, 1), 0);
+    // Who is behind asks again. A second worker is more than a third of them: words alone do not take so many.
+    assert!(rig.until(|rig| count(rig, "lists_asked_anew") > 0));
+    rig.list(1, Some(2));
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(count(&rig, "drains_by_hearsay"), 1);
+    // The word was false, or is over: the worker is used again, by what the own list says.
+    rig.list(0, None);
+    rig.list(1, None);
+    let since = rig.now();
+    assert!(rig.until(|rig| sent_to(rig, 3, since, 1) > 0));
+    rig.list(3, Some(0));
+    assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["lists"]["mine"] == 2)));
+}
+
+#[test]
+fn a_process_whose_voter_file_another_has_serves_and_votes_once_it_is_free() {
+    let mut rig = rig(3, false);
+    rig.kill(0);
+    let (earlier, _) = LogFile::open(&rig.store(0), "n0 of n0, n1, n2", false).unwrap();
+    rig.launch(0, false).unwrap();
+    assert!(rig.ready(0), "the other two are a majority");
+    assert!(rig.tier(0).unwrap()["voter"].is_null());
+    rig.kill(1);
+    assert!(rig.until(|rig| rig.tier(2).is_some_and(|t| t["may_act"] == false)));
+    drop(earlier);
+    assert!(rig.until(|rig| rig.all_on(&[0, 2], 1)));
+    assert!(rig.until(|rig| propose(rig, 2, "at_most_once").is_some_and(|s| s.0 < 300)));
+    assert!(rig.until(|rig| rig.all_on(&[0, 2], 2)));
+    verdict(&rig);
+}
+
 #[test]
 fn a_stopped_scheduler_does_not_act_on_what_it_knew_when_it_goes_on() {
     let mut rig = rig(4, true);
