--- a/crates/accord/src/frames.rs
+++ b/crates/accord/src/frames.rs
@@ -52,7 +52,7 @@
         /// Whether it promised.
         yes: bool,
         /// The state, if it is newer than the asker's.
-        news: Option<State>,
+        news: Option<Box<State>>,
         /// The lists of all.
         lists: Theirs,
     },
--- a/crates/emulator/src/rig.rs
+++ b/crates/emulator/src/rig.rs
@@ -435,9 +435,9 @@
 
 fn nodes(options: &Options, places: &Places, dials: &[[SocketAddr; HOSTS.len()]]) -> io::Result<Vec<Node>> {
     let mut nodes = Vec::new();
-    for i in 0..options.schedulers {
+    for (i, dials) in dials.iter().enumerate() {
         let [listen, control, tier] = places.own[i];
-        let known = json!({"seq": 1, "whole": true, "hosts": hosts(&dials[i], None)});
+        let known = json!({"seq": 1, "whole": true, "hosts": hosts(dials, None)});
         let config = json!({"name": format!("n{i}"), "listen": listen.to_string(), "control": control.to_string(),
             "discovery": places.discoveries[i].local_addr()?.to_string(), "seed": format!("{i:x}"),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "known": known, "settings": settings()});
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -473,7 +473,7 @@
                     let state = agreement.state();
                     let yes = agreement.settled()
                         && acting.is_some_and(|acting| promises.ask(now, &process, number, acting, state));
-                    (yes, (state.index > index).then(|| state.clone()))
+                    (yes, (state.index > index).then(|| Box::new(state.clone())))
                 });
                 // An answer to an earlier process of this name finds nobody.
                 if let Some((yes, news)) = answer
@@ -482,7 +482,9 @@
                     self.send(to, from, Word::Answer { number, yes, news, lists: Theirs::default() });
                 }
             }
-            Word::Answer { number, yes, news, .. } => self.answer(to, from, now, (number, yes, news)),
+            Word::Answer { number, yes, news, .. } => {
+                self.answer(to, from, now, (number, yes, news.map(|n| *n)))
+            }
             Word::Propose(command) => {
                 self.voter(to, |agreement, _, _| agreement.propose(&command));
                 self.turn(to)?;
--- a/crates/scheduler/src/tier.rs
+++ b/crates/scheduler/src/tier.rs
@@ -492,7 +492,7 @@
     let mut bytes = Vec::new();
     loop {
         if let Word::Answer { number, yes, news, lists } = next(&mut from, &mut channel, &mut bytes).await? {
-            answered(s, voter, number, yes, news);
+            answered(s, voter, number, yes, news.map(|n| *n));
             compare(s, &lists);
         }
     }
@@ -578,7 +578,7 @@
             let state = agreement.state();
             let yes = agreement.settled()
                 && acting.is_some_and(|acting| promises.ask(now, who, number, acting, state));
-            let news = (state.index > index).then(|| state.clone());
+            let news = (state.index > index).then(|| Box::new(state.clone()));
             return Some(Word::Answer { number, yes, news, lists: lists.tell(now) });
         }
         Word::Propose(command @ Command::Propose { .. }) => {
@@ -666,7 +666,7 @@
         if on.number == Some(voter as u64 + 1) {
             let who = (on.name.clone(), on.process);
             if let Some(Word::Answer { number, yes, news, lists }) = voter_hears(s, &who, on.number, word) {
-                answered(s, voter, number, yes, news);
+                answered(s, voter, number, yes, news.map(|n| *n));
                 compare(s, &lists);
             }
         } else {
