Without a first lease a scheduler that may go on does so by the strictest rules, too

Ruled out: a late look at the lease (it is looked at every 0.25 s), renewal over the cut. Change: what is in force follows from the lease at every change; the strictest rules are looked up as such.

--- a/crates/emulator/src/rig.rs
+++ b/crates/emulator/src/rig.rs
@@ -299,7 +299,9 @@
         self.shared.start.elapsed()
     }
 
-    fn signal(&self, n: usize, signal: Signal) {
+    fn signal(&mut self, n: usize, signal: Signal) {
+        // A process that has ended and was waited for has no number any more.
+        self.nodes[n].child.retain_mut(|child| matches!(child.try_wait(), Ok(None)));
         for child in &self.nodes[n].child {
             if let Some(pid) = Pid::from_raw(child.id() as i32) {
                 let _ = kill_process(pid, signal);
@@ -322,12 +324,12 @@
     }
 
     /// Stops a scheduler's processes where they are.
-    pub fn stop(&self, n: usize) {
+    pub fn stop(&mut self, n: usize) {
         self.signal(n, Signal::STOP);
     }
 
     /// Has stopped processes go on.
-    pub fn go_on(&self, n: usize) {
+    pub fn go_on(&mut self, n: usize) {
         self.signal(n, Signal::CONT);
     }
 
--- a/crates/scheduler/src/tier.rs
+++ b/crates/scheduler/src/tier.rs
@@ -218,6 +218,8 @@
     fault: RefCell<Option<String>>,
     /// The lease as it was last looked at.
     held: Cell<bool>,
+    /// The strictest rules are in force here, for want of a lease.
+    careful: Cell<bool>,
     proposals: RefCell<BTreeMap<u64, Command>>,
     boxes: Vec<Outbox>,
     hurry: Notify,
@@ -304,7 +306,8 @@
     /// Whether this scheduler may serve now.
     pub fn may_act(&self) -> bool {
         let Some(on) = &self.0 else { return true };
-        on.holds() || (on.spec.on_lapse == OnLapse::Strict && on.applied.get().is_some() && !on.held.get())
+        // The strictest rules need no lease, once they are in force here.
+        on.holds() || (on.careful.get() && on.fault.borrow().is_none())
     }
 
     /// Looked at immediately before the first byte of a forward, and written into the history.
@@ -352,6 +355,7 @@
             out: RefCell::default(),
             fault: RefCell::default(),
             held: Cell::new(false),
+            careful: Cell::new(false),
             proposals: RefCell::default(),
             boxes: spec.voters.iter().map(|_| Outbox::default()).collect(),
             hurry: Notify::new(),
@@ -728,7 +732,8 @@
 /// all is done on one thread.
 fn put_in_force(s: &Rc<Scheduler>, on: &On) {
     let acting = on.holder.borrow().acting();
-    enforce(s, on, true);
+    let holds = on.holder.borrow().may_act(on.now());
+    enforce(s, on, holds || on.spec.on_lapse == OnLapse::Leave);
     on.applied.set(acting);
     if let Some(acting) = acting {
         on.log(Did::Takes(acting));
@@ -741,7 +746,10 @@
     let body = if agreed { body } else { rules::careful(&body) };
     let done = s.config.with_settings(body.settings_for(&s.config.settings()));
     match done.and_then(|fresh: Fresh| reload::put_in_force(s, fresh)) {
-        Ok(()) => *on.fault.borrow_mut() = None,
+        Ok(()) => {
+            on.careful.set(!agreed);
+            *on.fault.borrow_mut() = None;
+        }
         Err(e) => {
             tracing::error!("tier: what was agreed cannot be read by this build: {e}; out of service");
             *on.fault.borrow_mut() = Some(e);
--- a/tests/tier.rs
+++ b/tests/tier.rs
@@ -174,6 +174,8 @@
 #[test]
 fn where_staff_prefer_it_a_scheduler_without_a_lease_goes_on_by_the_strictest_rules() {
     let rig = rig_with(4, true, "on_lapse = \"strict\"");
+    // Here a scheduler serves before it has its first lease.
+    assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["lease_left_s"].as_f64() > Some(0.0))));
     rig.around(3, Way::Cut);
     assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["lease_left_s"] == 0.0)));
     std::thread::sleep(Duration::from_millis(300));
@@ -181,7 +183,9 @@
     std::thread::sleep(Duration::from_secs(1));
     let jobs: Vec<_> = rig.jobs().into_iter().filter(|j| j.scheduler == 3 && j.sent > since).collect();
     assert!(jobs.iter().filter(|j| j.status == Some(200)).count() > 5, "{jobs:?}");
-    assert!(jobs.iter().all(|j| j.runs <= 1), "a job that may have become unsafe is not repeated");
+    // A job that may have become unsafe is not repeated.
+    let twice: Vec<_> = jobs.iter().filter(|j| j.runs > 1).collect();
+    assert!(twice.is_empty(), "{} of {} since {since:?}: {twice:?}", twice.len(), jobs.len());
     rig.around(3, Way::Whole);
     assert!(rig.until(|rig| rig.tier(3).is_some_and(|t| t["lease_left_s"].as_f64() > Some(0.0))));
     let since = rig.now();
