Drawn schedules with real processes are part of the tests

Need: the stories play chosen faults; what nobody thought of has to be drawn. Change: six schedules of 6 s with five processes each, in parallel, judged by the checker; schedules are files.

--- a/crates/lab/tests/trials.rs
+++ b/crates/lab/tests/trials.rs
@@ -1,6 +1,7 @@
 //! The tier's agreement under faults, in virtual time.
 
 use loomlb_accord::timing::Terms;
+use loomlb_lab::processes::{self, What};
 use loomlb_lab::trial::{Told, Trial, Without, play};
 
 fn trial(without: Without) -> Trial {
@@ -48,3 +49,27 @@
     assert!(told.breaches.is_empty() && told.versions > 3, "{told:?}");
     assert!(told.everywhere_ms[1] < 1500.0, "{told:?}");
 }
+
+/// Drawn schedules with five real processes: cuts, stops, kills, slow and broken links, files and orders, judged by the
+/// same checker. A schedule is a file that plays again.
+#[test]
+fn drawn_schedules_with_real_processes_break_nothing() {
+    let program = [env!("CARGO_BIN_EXE_loomlb-lab").into(), "scheduler".into()];
+    let schedules: Vec<_> = (0..6).map(|seed| processes::draw(seed, 5, 6)).collect();
+    let drawn = |what| schedules.iter().flat_map(|s| &s.acts).any(|a| a.what == what);
+    assert!([What::Stop, What::Kill, What::Cut, What::Reload, What::Propose].into_iter().all(drawn));
+    for schedule in &schedules {
+        let text = toml::to_string(schedule).unwrap();
+        assert_eq!(&loomlb_keys::read::<processes::Schedule>(&text).unwrap(), schedule);
+    }
+    std::thread::scope(|scope| {
+        for schedule in &schedules {
+            let program = &program;
+            scope.spawn(move || {
+                let told = processes::play(schedule, program).unwrap();
+                assert!(told.breaches.is_empty(), "{}: {}", schedule.name, told.breaches.join("\n"));
+                assert!(told.acts > 50 && told.versions > 0, "{told:?}");
+            });
+        }
+    });
+}
