A trial says of every unanswered job whether its scheduler was stopped or dead at the time

Need: in a schedule with a stopped process unanswered jobs were not judged at all (processes.rs, play). Change: the times in which each scheduler's processes did not run are kept; a job without an answer outside of them is a breach. One piece writes entries and votes to a voter's file.

--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -50,6 +50,16 @@
     out.extend_from_slice(payload);
 }
 
+fn records(out: &mut Vec<u8>, entries: &[Entry], hard: Option<&HardState>) -> io::Result<()> {
+    for entry in entries {
+        record(out, ENTRY, &written(entry)?);
+    }
+    if let Some(hard) = hard {
+        record(out, HARD, &written(hard)?);
+    }
+    Ok(())
+}
+
 fn checksum(kind: u8, payload: &[u8]) -> [u8; 8] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&[kind]).update(payload);
@@ -156,12 +166,7 @@
 impl Disk for LogFile {
     fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> io::Result<()> {
         let mut out = Vec::new();
-        for entry in entries {
-            record(&mut out, ENTRY, &written(entry)?);
-        }
-        if let Some(hard) = hard {
-            record(&mut out, HARD, &written(hard)?);
-        }
+        records(&mut out, entries, hard)?;
         self.write(&out)
     }
 
@@ -174,12 +179,7 @@
         let mut out = Vec::new();
         record(&mut out, OWNER, &self.owner);
         record(&mut out, PICTURE, &written(snapshot)?);
-        for entry in entries {
-            record(&mut out, ENTRY, &written(entry)?);
-        }
-        if let Some(hard) = hard {
-            record(&mut out, HARD, &written(hard)?);
-        }
+        records(&mut out, entries, hard)?;
         let fresh = self.path.with_extension("new");
         let mut file = File::create(&fresh)?;
         file.write_all(&out)?;
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -2,7 +2,7 @@
 //! rig and judged by the checker. A schedule that fails is made as short as it still fails.
 
 use loomlb_accord::check::judge;
-use loomlb_emulator::rig::{Options, Rig, Way};
+use loomlb_emulator::rig::{Job, Options, Rig, Way};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::ffi::OsString;
@@ -10,6 +10,8 @@
 
 /// Plays of one schedule while it is made shorter.
 const PLAYS: usize = 40;
+/// The rig's clients wait so long for an answer.
+const WAITS: Duration = Duration::from_secs(4);
 /// What may pass between a process's look at its lease and its line, if it is stopped in between, in milliseconds.
 const MOMENT_MS: u64 = 250;
 
@@ -140,7 +142,8 @@
     if !all.iter().all(|n| rig.ready(*n)) {
         breaches.push("all serve at the start: not in time".to_string());
     }
-    let mut killed = Vec::new();
+    // Whose processes did not run, from when to when.
+    let mut away: Vec<(usize, Duration, Duration)> = Vec::new();
     // What ends: when, and what it was.
     let mut ends: Vec<(u64, Act)> = Vec::new();
     let mut acts = schedule.acts.clone();
@@ -153,8 +156,13 @@
         if ends.first().is_some_and(|e| e.0 <= now) {
             let (_, act) = ends.remove(0);
             end(&mut rig, &act, &ends)?;
+            // A process that was started anew serves in a moment.
+            let until = rig.now() + Duration::from_secs(1);
+            let back = gone(&act, schedule.voters);
+            away.iter_mut().filter(|a| a.2 == Duration::MAX && back.contains(&a.0)).for_each(|a| a.2 = until);
         } else if let Some(act) = acts.next_if(|a| a.at_ms <= now) {
-            begin(&mut rig, &act, schedule.voters, &mut killed)?;
+            begin(&mut rig, &act, schedule.voters)?;
+            away.extend(gone(&act, schedule.voters).into_iter().map(|n| (n, rig.now(), Duration::MAX)));
             ends.push((now + act.for_ms, act));
         } else {
             std::thread::sleep(Duration::from_millis(5));
@@ -179,12 +187,15 @@
     let sent = rig.now();
     rig.until(|rig| rig.jobs().iter().filter(|j| j.sent < sent).all(|j| j.over));
     let jobs: Vec<_> = rig.jobs().into_iter().filter(|j| j.sent < sent).collect();
-    let lost = jobs.iter().filter(|j| j.status.is_none() && !killed.contains(&j.scheduler)).count();
-    let stopped = schedule.acts.iter().any(|a| a.what == What::Stop);
-    // A client whose scheduler stands still for longer than it waits gets nothing: that is the fault's doing.
-    if lost > 0 && !stopped {
-        breaches.push(format!("all that is taken is answered: {lost} of {} were not", jobs.len()));
+    // A client whose scheduler stands still or dies gets nothing: that is the fault's doing.
+    let excused = |j: &Job| {
+        away.iter().any(|(n, from, to)| *n == j.scheduler && j.sent <= *to && j.sent + WAITS >= *from)
+    };
+    let unanswered: Vec<&Job> = jobs.iter().filter(|j| j.status.is_none()).collect();
+    if let Some(job) = unanswered.iter().find(|j| !excused(j)) {
+        breaches.push(format!("all that is taken is answered: {job:?}"));
     }
+    let lost = unanswered.len();
     if let Some(job) = jobs.iter().find(|j| j.runs > 2) {
         breaches.push(format!("no more attempts than there may be: {job:?}"));
     }
@@ -200,7 +211,16 @@
     })
 }
 
-fn begin(rig: &mut Rig, act: &Act, voters: usize, killed: &mut Vec<usize>) -> std::io::Result<()> {
+/// Whose processes do not run while this lasts.
+fn gone(act: &Act, voters: usize) -> Vec<usize> {
+    match act.what {
+        What::Stop | What::Kill => vec![act.node],
+        What::KillVoters => (0..voters).collect(),
+        _ => Vec::new(),
+    }
+}
+
+fn begin(rig: &mut Rig, act: &Act, voters: usize) -> std::io::Result<()> {
     let n = act.node;
     match act.what {
         What::Reload => rig.reload(n, |s| effect(s, act.at_ms))?,
@@ -216,14 +236,8 @@
         What::Slow => rig.around(n, Way::Slow(Duration::from_millis(200))),
         What::Break => (0..voters).filter(|o| *o != n).for_each(|o| rig.break_links(n, o)),
         What::Stop => rig.stop(n),
-        What::Kill => {
-            rig.kill(n);
-            killed.push(n);
-        }
-        What::KillVoters => (0..voters).for_each(|n| {
-            rig.kill(n);
-            killed.push(n);
-        }),
+        What::Kill => rig.kill(n),
+        What::KillVoters => (0..voters).for_each(|n| rig.kill(n)),
         What::Twice => rig.launch(n, false)?,
     }
     Ok(())
