--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -143,7 +143,7 @@
         breaches.push("all serve at the start: not in time".to_string());
     }
     // Whose processes did not run, from when to when.
-    let mut away: Vec<(usize, Duration, Duration)> = Vec::new();
+    let mut away: Vec<Away> = Vec::new();
     // What ends: when, and what it was.
     let mut ends: Vec<(u64, Act)> = Vec::new();
     let mut acts = schedule.acts.clone();
@@ -158,11 +158,12 @@
             end(&mut rig, &act, &ends)?;
             // A process that was started anew serves in a moment.
             let until = rig.now() + Duration::from_secs(1);
-            let back = gone(&act, schedule.voters);
-            away.iter_mut().filter(|a| a.2 == Duration::MAX && back.contains(&a.0)).for_each(|a| a.2 = until);
+            away.iter_mut().filter(|a| a.by == act).for_each(|a| a.to = until);
         } else if let Some(act) = acts.next_if(|a| a.at_ms <= now) {
             begin(&mut rig, &act, schedule.voters)?;
-            away.extend(gone(&act, schedule.voters).into_iter().map(|n| (n, rig.now(), Duration::MAX)));
+            let from = rig.now();
+            let of = |node| Away { node, from, to: Duration::MAX, by: act.clone() };
+            away.extend(gone(&act, schedule.voters).into_iter().map(of));
             ends.push((now + act.for_ms, act));
         } else {
             std::thread::sleep(Duration::from_millis(5));
@@ -188,9 +189,8 @@
     rig.until(|rig| rig.jobs().iter().filter(|j| j.sent < sent).all(|j| j.over));
     let jobs: Vec<_> = rig.jobs().into_iter().filter(|j| j.sent < sent).collect();
     // A client whose scheduler stands still or dies gets nothing: that is the fault's doing.
-    let excused = |j: &Job| {
-        away.iter().any(|(n, from, to)| *n == j.scheduler && j.sent <= *to && j.sent + WAITS >= *from)
-    };
+    let excused =
+        |j: &Job| away.iter().any(|a| a.node == j.scheduler && j.sent <= a.to && j.sent + WAITS >= a.from);
     let unanswered: Vec<&Job> = jobs.iter().filter(|j| j.status.is_none()).collect();
     if let Some(job) = unanswered.iter().find(|j| !excused(j)) {
         breaches.push(format!("all that is taken is answered: {job:?}"));
@@ -211,6 +211,14 @@
     })
 }
 
+/// A time in which a scheduler's processes did not run.
+struct Away {
+    node: usize,
+    from: Duration,
+    to: Duration,
+    by: Act,
+}
+
 /// Whose processes do not run while this lasts.
 fn gone(act: &Act, voters: usize) -> Vec<usize> {
     match act.what {
