A group whose members don't hear each other keeps to its parts of the workers

While a peer is not heard, others() counted what it told last and after 1 s and 8 of its pauses nothing, and for workers of the own group never the reports. So each took the group's queues for its own.

The change: a group counts as unheard after 0.2 s and eight mean pauses between the words of all its members. Then reports count again, and each keeps to its part of the group's slots, by its part of the group's words of late, with room for chance; the rest waits and is refused within its aim with Retry-After. Who hears nobody for 15 s comes to count as alone over 15 s more. To make room, shares, reports and the sharers of a cold worker moved out of rules.rs unchanged.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,6 +28,7 @@
 mod network;
 pub mod rules;
 mod state;
+mod talk;
 
 pub use api::*;
 pub use message::{Holds, Message};
--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -7,17 +7,16 @@
 
 use crate::api::*;
 use crate::cold;
-use crate::fading::{Fading, lower_median, toward};
+use crate::fading::{Fading, toward};
 use crate::groups::{Tier, lean};
 use crate::message::{Holds, Message};
 mod carry;
 pub use crate::network::Network;
-use crate::state::{Attempt, Best, Job, Known, Learned, Peer, Random, Repeat, Share};
+use crate::state::{Attempt, Best, Job, Known, Learned, Peer, Random, Repeat, Share, in_share};
+use crate::talk::Talk;
 pub use carry::Carried;
 use rustc_hash::FxHashMap;
 
-/// Seconds over which a tenant's use is averaged and may run ahead of its share.
-const SHARE_SPAN: f64 = 5.0;
 /// Share of requests sent to a random other worker.
 const EXPLORE: f64 = 0.1;
 /// A worker with jobs of ours is silent beyond this many mean running times without a word.
@@ -98,6 +97,7 @@
     others_part: f64,
     /// The part of the jobs sent beyond the group of late that found no room there.
     crowded: f64,
+    talk: Talk,
 }
 
 impl Dispatcher {
@@ -272,6 +272,9 @@
     fn tell(&mut self, w: usize, failed: bool, out: &mut Vec<Action>) {
         self.turn = self.turn.wrapping_add(1);
         let known = &self.workers[w];
+        if known.near {
+            self.talk.said(self.now);
+        }
         let holds = Holds { worker: known.entry.id, slots: known.own as u8, turn: self.turn, failed };
         let bytes = Message::Holds(holds).bytes();
         let group = self.groups.get(known.part).unwrap_or(&self.group);
@@ -307,6 +310,7 @@
             known.failed(self.now, FORGET);
         }
         known.hear(peer, holds, self.now, LATE);
+        self.talk.heard(self.now);
     }
 
     /// Forgets what those told that have ended: they are silent beyond measure, and their jobs are over.
@@ -343,7 +347,8 @@
         let start_by = (self.now + slack.max(0.0) as Nanos).saturating_sub(before);
         let work = request.expected.map_or(learned.run, |e| e as f64);
         let aim_by = (self.now + class.aim + (class.stretch * work) as Nanos).saturating_sub(before);
-        let in_share = request.in_share.unwrap_or_else(|| self.in_share(request.tenant, request.retry));
+        let told = |s: &mut Self| in_share(&mut s.share, &s.set, request.tenant, request.retry, s.now);
+        let in_share = request.in_share.unwrap_or_else(|| told(self));
         let worth = self.worth(request.class.0);
         toward(&mut self.mean_worth, worth, 0.01);
         let job = Job {
@@ -373,19 +378,6 @@
         }
     }
 
-    /// Whether a tenant is within its share, as far as is seen here: a bucket filled by a part of its quota.
-    /// That part is an equal one, or what the median tenant uses here if that is more: traffic is uneven over
-    /// the dispatchers, and a busy one would else count honest tenants as over their share.
-    fn in_share(&mut self, tenant: Option<TenantId>, retry: bool) -> bool {
-        let Some(t) = tenant.map(|t| t.0).filter(|&t| t < self.share.len()) else { return true };
-        let quota = |t: usize| self.set.tenants[t].quota_per_s.max(1e-9);
-        let here = |t: usize| self.share[t].used.get(self.now, SHARE_SPAN * 1e9);
-        let used = (0..self.share.len()).map(|t| here(t) / quota(t)).collect();
-        let part = lower_median(used).max(1.0 / f64::from(self.set.dispatchers.max(1)));
-        let (rate, own) = (part * quota(t), here(t));
-        self.share[t].take(self.now, SHARE_SPAN, rate, if retry { own } else { own + 1.0 / SHARE_SPAN })
-    }
-
     /// The last moment at which an attempt may end and an answer still go out in time.
     fn last_moment(&self, job: &Job) -> Nanos {
         job.deadline.saturating_sub(2 * self.set.tick)
@@ -551,11 +543,17 @@
         self.form_group();
         self.forget_silent();
         let congested = self.blind() && self.zone_wait(self.set.zone.0) > self.mean_run;
+        // Unheard by each other, all would fill the same queues: what parts do not hold is refused early.
+        let job = self.jobs.get(&id)?;
+        let tied = job.may_have_run().next().is_some();
+        let cut_off = self.cut_off() && !tied;
+        if cut_off && !self.in_part(job.request.slots) {
+            return None;
+        }
         let among_group = if self.group.is_empty() || congested { None } else { self.pick_among(id, true) };
         // What is held beyond the group is old news: in a full fleet all would pour jobs there. So a job
         // with patience waits for its group, and goes beyond as often as the last ones there found room.
         let job = self.jobs.get(&id)?;
-        let tied = job.may_have_run().next().is_some();
         if self.now == job.arrived {
             // A full group is half a sign that all are full.
             let full = if among_group.is_none() { 0.5 } else { 0.0 };
@@ -564,7 +562,7 @@
         let patient = self.now < job.arrived + job.start_by.saturating_sub(job.arrived) / 2;
         let stay = patient || lean(id.0, 0) > (1.0 - self.crowded).powi(2).max(0.02);
         let grouped = self.set.reports == Reports::Answers && !self.group.is_empty();
-        if among_group.is_none() && grouped && !tied && stay {
+        if among_group.is_none() && (cut_off || grouped && !tied && stay) {
             return None;
         }
         among_group.or_else(|| self.pick_among(id, false))
@@ -697,10 +695,25 @@
         self.waits.get_mut(zone.0).into_iter().for_each(|w| w.set(self.now, mean));
     }
 
+    /// Whether the others of the group cannot be heard, or are not there any more.
+    fn cut_off(&self) -> bool {
+        !self.group.is_empty() && self.talk.silent(self.now)
+    }
+
+    /// Whether a job fits into the part of its group's slots that is surely this dispatcher's.
+    fn in_part(&self, need: f64) -> bool {
+        let near = self.workers.iter().filter(|k| k.near && k.listed);
+        let slots = |k| self.slots(k).unwrap_or(1.0) * self.warmth(&k.entry, self.now);
+        let (own, all) = near.fold((0.0, 0.0), |(own, all), k| (own + k.own, all + slots(k)));
+        own + need / 2.0 <= self.talk.own(self.now, all)
+    }
+
     /// Whether all that is sent to the workers is sent here or told by peers: reports, late and noisy, then
     /// have nothing to add on what is held there.
     fn all_told(&self) -> bool {
-        self.set.reports != Reports::Probes && self.group.len() + 1 >= self.set.dispatchers as usize
+        !self.cut_off()
+            && self.set.reports != Reports::Probes
+            && self.group.len() + 1 >= self.set.dispatchers as usize
     }
 
     /// What others hold on a worker, by reports or peers. News age: what others hold turns over in a
@@ -708,7 +721,7 @@
     /// goes to the mean of all, short of full.
     fn others(&self, known: &Known) -> f64 {
         let told: f64 = known.told.iter().map(|t| t.slots.get(self.now, LOST)).sum();
-        if self.all_told() || known.near && !self.group.is_empty() {
+        if self.all_told() || known.near && !self.group.is_empty() && !self.cut_off() {
             return told;
         }
         let slots = self.slots(known).unwrap_or(0.0) * self.warmth(&known.entry, self.now);
@@ -739,15 +752,10 @@
         let before = self.warmth(&known.entry, known.cold_at);
         let budget = cold::Budget::new(&self.set.rules, capacity, before, warmth);
         let charge = budget.charge(self.learned[class].run * slots.max(1.0));
-        // In one zone a cold worker is its group's alone, by the settings and its id, whatever a list says.
-        let all = self.set.dispatchers.max(1) as usize;
-        let split = if self.set.zones <= 1 && self.set.limits.peers { all.div_ceil(GROUP) } else { 1 };
-        let tier = Tier::new(all, split);
-        let sharers = tier.members(tier.home(known.entry.id.0));
-        if split > 1 && !sharers.contains(&(self.set.me.0 as usize)) {
+        let Some(sharers) = cold::sharers(&self.set, known.entry.id, GROUP) else {
             return Some((charge, f64::NEG_INFINITY));
-        }
-        let waited = self.now.saturating_sub(known.cold_at) as f64 * budget.rate / sharers.len() as f64;
+        };
+        let waited = self.now.saturating_sub(known.cold_at) as f64 * budget.rate / sharers as f64;
         Some((charge, (known.cold_credit + waited - known.cold_phase * charge).min(0.0)))
     }
 
@@ -788,21 +796,10 @@
     }
 
     fn report(&mut self, w: usize, report: &Report) {
-        let told = self.all_told();
-        let known = &mut self.workers[w];
-        let report = report.sane();
-        let free = report.free_slots.filter(|_| self.set.free_slots_reported);
-        if let Some(free) = free.filter(|&f| f > 0.5) {
-            let of_kind = self.kind_slots.get_mut(known.entry.kind.0);
-            known.learn_size(of_kind, free, report.in_flight, self.most_need);
-        }
-        let held = report.in_flight.map(|h| h * self.mean_need.max(1.0));
-        let full = |k: &Known| Some((k.slots? - free?).max(0.0) + report.queue.unwrap_or(0.0));
-        if let Some(held) = held.or_else(|| full(known)).filter(|_| !told) {
-            let others = known.others_reported(self.now, held, self.set.reports == Reports::Probes);
-            let part = others / known.slots.unwrap_or(others + 1.0).max(1.0);
-            self.others_part += (part - self.others_part) * 0.02;
-        }
+        let (told, need) = (self.all_told(), (self.mean_need, self.most_need));
+        let of_kind = self.kind_slots.get_mut(self.workers[w].entry.kind.0);
+        let part = self.workers[w].take_in(self.now, &report.sane(), &self.set, need, of_kind, told);
+        part.into_iter().for_each(|part| self.others_part += (part - self.others_part) * 0.02);
     }
 
     fn outcome(&mut self, id: RequestId, attempt: u32, ended: Ended, out: &mut Vec<Action>) {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -1,11 +1,14 @@
 //! What a dispatcher remembers of workers, requests, classes and tenants. Nothing is decided here.
 
 use crate::api::*;
-use crate::fading::{Fading, fade};
+use crate::fading::{Fading, fade, lower_median};
 use crate::message::Holds;
 use crate::meter::Meter;
 use serde::{Deserialize, Serialize};
 
+/// Seconds over which a tenant's use is averaged and may run ahead of its share.
+const SHARE_SPAN: f64 = 5.0;
+
 /// What is known of a worker.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
@@ -70,6 +73,28 @@
         mean + (self.others - mean) * fade(now.saturating_sub(self.reported), span)
     }
 
+    /// Takes in a report: the size of the worker and, unless all is `told`, what others hold there; then the part of its
+    /// slots that they do. `need`: the slots of a mean job and of the largest.
+    pub(crate) fn take_in(
+        &mut self,
+        now: Nanos,
+        report: &Report,
+        set: &Settings,
+        need: (f64, f64),
+        of_kind: Option<&mut f64>,
+        told: bool,
+    ) -> Option<f64> {
+        let free = report.free_slots.filter(|_| set.free_slots_reported);
+        if let Some(free) = free.filter(|&f| f > 0.5) {
+            self.learn_size(of_kind, free, report.in_flight, need.1);
+        }
+        let held = report.in_flight.map(|h| h * need.0.max(1.0));
+        let full = |k: &Known| Some((k.slots? - free?).max(0.0) + report.queue.unwrap_or(0.0));
+        let held = held.or_else(|| full(self)).filter(|_| !told)?;
+        let others = self.others_reported(now, held, set.reports == Reports::Probes);
+        Some(others / self.slots.unwrap_or(others + 1.0).max(1.0))
+    }
+
     /// Takes in a report of the slots held there. A fresh one counts as it is, and has counted what is out now; an old one
     /// has counted what was out of late. What others hold by this one alone.
     pub(crate) fn others_reported(&mut self, now: Nanos, held: f64, fresh: bool) -> f64 {
@@ -232,6 +257,25 @@
     }
 }
 
+/// Whether a tenant is within its share, as far as is seen here: a bucket filled by a part of its quota.
+/// That part is an equal one, or what the median tenant uses here if that is more: traffic is uneven over
+/// the dispatchers, and a busy one would else count honest tenants as over their share.
+pub(crate) fn in_share(
+    shares: &mut [Share],
+    set: &Settings,
+    tenant: Option<TenantId>,
+    retry: bool,
+    now: Nanos,
+) -> bool {
+    let Some(t) = tenant.map(|t| t.0).filter(|&t| t < shares.len()) else { return true };
+    let quota = |t: usize| set.tenants[t].quota_per_s.max(1e-9);
+    let here = |t: usize| shares[t].used.get(now, SHARE_SPAN * 1e9);
+    let used = (0..shares.len()).map(|t| here(t) / quota(t)).collect();
+    let part = lower_median(used).max(1.0 / f64::from(set.dispatchers.max(1)));
+    let (rate, own) = (part * quota(t), here(t));
+    shares[t].take(now, SHARE_SPAN, rate, if retry { own } else { own + 1.0 / SHARE_SPAN })
+}
+
 /// Random numbers from the seed of the instance alone.
 #[derive(Debug)]
 pub(crate) struct Random(pub(crate) fastrand::Rng);
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -770,6 +770,60 @@
     assert!(none < room / 2, "{none} of 200 jobs left for where there is none, {room} for where there is");
 }
 
+/// Peers that don't hear each other have each only its own jobs to count, and all would fill the same queues. Each keeps to
+/// its part of the traffic of late, and what does not fit is refused before its aim has passed.
+#[test]
+fn who_hears_nobody_of_its_group_keeps_to_its_part_and_refuses_the_rest_early() {
+    let mut set = settings(Effect::Safe);
+    (set.reports, set.free_slots_reported) = (Reports::Answers, true);
+    (set.dispatchers, set.zones, set.limits.peers) = (12, 1, true);
+    set.limits.max_retry_after = 2 * S;
+    let cut = |silent: bool, busy: u32| {
+        let mut stage =
+            Stage { dispatcher: Dispatcher::new(set.clone(), 5), now: 1_800_000_000 * S, next: 0 };
+        stage.list(ListKind::Complete, &workers(8));
+        let free = Report { in_flight: Some(0.0), free_slots: Some(4.0), ..Report::default() };
+        let served = Ended { outcome: Outcome::Served, latency: 100 * MS, closed: true, report: Some(free) };
+        for turn in 0..600u32 {
+            stage.now += 5 * MS;
+            let holds = Holds {
+                worker: WorkerId(u64::from(turn % 8) + 1),
+                slots: 0,
+                turn: turn as u16,
+                failed: false,
+            };
+            stage.event(Event::Peer(PeerId(1 + turn % 11), Message::Holds(holds).bytes()));
+            let mut actions = if turn % busy == 0 { stage.request(4 * S).1 } else { Vec::new() };
+            while let Some(action) = actions.pop() {
+                if let Action::Send { id, .. } = action {
+                    actions.extend(stage.event(Event::Ended { id, attempt: 0, ended: served }));
+                }
+            }
+        }
+        stage.now += if silent { 2 * S } else { 5 * MS };
+        let (mut held, mut refused, begun) = (0, 0, stage.now);
+        stage.event(Event::Timer(2));
+        for _ in 0..30 {
+            held += sent(&stage.request(4 * S).1).len();
+        }
+        for _ in 0..60 {
+            stage.now += 20 * MS;
+            let actions = stage.event(Event::Timer(2));
+            held += sent(&actions).len();
+            let late = |a: &&Action| matches!(a, Action::Refuse { retry_after, .. } if *retry_after > 0);
+            refused += actions.iter().filter(late).count();
+            assert!(refused == 0 || stage.now > begun + 100 * MS);
+        }
+        assert_eq!(held + refused, 30, "what is not sent is told so within its aim");
+        held
+    };
+    // 8 workers of 4 slots: a twelfth is 2.7, a third 10.7, each with room for what comes by chance.
+    let (twelfth, third, all) = (cut(true, 20), cut(true, 4), cut(false, 20));
+    assert!((3..=7).contains(&twelfth), "{twelfth} jobs of who has a twelfth of the traffic");
+    assert!((9..=17).contains(&third), "{third} jobs of who has a third");
+    assert!(all >= 18, "{all} where the others are heard");
+}
+
 #[test]
 fn a_job_waits_here_rather_than_at_a_worker_that_is_full() {
     let set = Settings { reports: Reports::Answers, free_slots_reported: true, ..settings(Effect::Safe) };
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -34,6 +34,7 @@
     "herd",
     "zone",
     "join",
+    "split",
     "orders-calm",
     "orders-overload",
     "orders-cut",
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -45,7 +45,7 @@
 /// Each that goes by its own jobs alone crowds some workers and leaves others idle, most of all while many are cold.
 #[test]
 fn a_hundred_schedulers_beat_textbook_policies_while_most_of_the_fleet_changes() {
-    for (name, least) in [("herd", 0.05), ("zone", 0.05), ("join", 0.1)] {
+    for (name, least) in [("herd", 0.05), ("zone", 0.05), ("join", 0.1), ("split", 0.15)] {
         let day = day(name);
         let module = simulate::run(&day, 3, 2);
         for idea in [Idea::TwoChoices, Idea::Random] {
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -616,6 +616,8 @@
     Partition,
     /// A zone is cut off from all others, and nothing is signalled; within it everything gets through.
     ZoneCut,
+    /// No scheduler hears another, and nothing is signalled.
+    PeersCut,
     /// A `part` of the clients reads its answers slowly.
     SlowReader,
     /// A `part` of the connections to workers is stuck: what is written to it is never read, and nothing comes back.
@@ -624,7 +626,7 @@
 
 impl TroubleKind {
     /// All of them.
-    pub const ALL: [TroubleKind; 17] = [
+    pub const ALL: [TroubleKind; 18] = [
         TroubleKind::Vanish,
         TroubleKind::Crash,
         TroubleKind::FastErrors,
@@ -640,6 +642,7 @@
         TroubleKind::DiscoveryMoved,
         TroubleKind::Partition,
         TroubleKind::ZoneCut,
+        TroubleKind::PeersCut,
         TroubleKind::SlowReader,
         TroubleKind::StuckConnection,
     ];
@@ -662,6 +665,7 @@
             TroubleKind::DiscoveryMoved => "discovery_moved",
             TroubleKind::Partition => "partition",
             TroubleKind::ZoneCut => "zone_cut",
+            TroubleKind::PeersCut => "peers_cut",
             TroubleKind::SlowReader => "slow_reader",
             TroubleKind::StuckConnection => "stuck_connection",
         }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -213,6 +213,8 @@
     pub cut: u64,
     /// Messages lost at the border of a zone that is cut off.
     pub zone_cut: u64,
+    /// Messages between schedulers lost while none hears another.
+    pub peers_cut: u64,
     /// Jobs whose subject's data had to be fetched.
     pub fetched: u64,
     /// Clients that read slowly.
@@ -254,6 +256,7 @@
             TroubleKind::DiscoveryMoved => self.moved,
             TroubleKind::Partition => self.cut,
             TroubleKind::ZoneCut => self.zone_cut,
+            TroubleKind::PeersCut => self.peers_cut,
             TroubleKind::SlowReader => self.slow_readers,
             TroubleKind::StuckConnection => self.stuck,
         }
@@ -336,6 +339,7 @@
     waiting_news: Vec<Vec<Entry>>,
     seq: u64,
     discovery_down: usize,
+    peers_down: usize,
     /// Discovery is busy with the calls of all schedulers until then.
     list_busy: Nanos,
     late: Nanos,
@@ -432,6 +436,7 @@
             waiting_news: vec![Vec::new(); schedulers],
             seq: 1,
             discovery_down: 0,
+            peers_down: 0,
             list_busy: 0,
             late: 0,
             stuck: 0.0,
@@ -540,6 +545,10 @@
     }
     /// Whether words get through between two schedulers.
     pub fn peers_reachable(&mut self, a: usize, b: usize) -> bool {
+        if self.peers_down > 0 {
+            self.counters.peers_cut += 1;
+            return false;
+        }
         let cut = self.cut_peers.contains(&a) || self.cut_peers.contains(&b);
         self.counters.cut += u64::from(cut);
         !cut && self.zones_meet(a, b)
@@ -1017,6 +1026,10 @@
                 self.cut_zones.extend(chosen);
                 self.push(end, Due::End(i));
             }
+            TroubleKind::PeersCut => {
+                self.peers_down += 1;
+                self.push(end, Due::End(i));
+            }
             TroubleKind::StuckConnection => {
                 self.stuck = t.part;
                 self.push(end, Due::End(i));
@@ -1079,6 +1092,7 @@
                 self.cut_peers.clear();
             }
             TroubleKind::ZoneCut => self.cut_zones.clear(),
+            TroubleKind::PeersCut => self.peers_down = self.peers_down.saturating_sub(1),
             TroubleKind::StuckConnection => self.stuck = 0.0,
             _ => {}
         }
