While the group is not heard, old reports rank its workers and do not bar them

Tried beside it and taken back: telling the module of a worker's 202 (a worker that has not taken a job within 0.7 of the aim is told to the group, and the job is given up and sent elsewhere).

--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -654,7 +654,9 @@
         // A large job seldom finds all its slots free. Where a queue is served in order it may wait at
         // the worker for the rest of them; where smaller jobs pass it, it would wait for long.
         let first = if self.set.queue_order == QueueOrder::Backfill { need.min(slots) } else { 1.0 };
-        if load + first > room * slots && load > 0.0 {
+        // What others hold that are not heard is a guess by old reports: it ranks, and the part is the bound.
+        let held = if self.cut_off() { known.own } else { load };
+        if held + first > room * slots && load > 0.0 {
             return None;
         }
         let over = (load + need - slots).max(0.0);
