A voter's log stands on a place that can fail, its errors are typed, and one contract holds for all

The voter's log opened its file itself, so that no test could fill the disk, fail a sync or cut the power under it; MemDisk, which the trials used, was another implementation with no format, no owner and no faults at all.

Weighed: a trait at the level of records (as Disk was; its file code stays out of reach of faults), at the level of system calls (a volume with open, rename and sync: more states than a voter's one file has), or of one lasting file (taken: read, write, sync, cut, swap, sync of the name). LogFile keeps format, owner and torn tail, and stands on a Place: a path, or memory that tears, shortens, fills up, fails to sync and loses power. MemDisk is gone: trials in virtual time write the real format.

One thing was wrong: after a failed sync LogFile went on if asked again, and a kernel then says that all is well though the pages are gone. The agreement above it stopped, so no voter acted on it; now the log itself takes nothing more until it is opened anew.

crates/contracts states fourteen clauses for stores. The log passes them in memory and on a real file with faults put between, and each of fourteen planted faults is found by the clause that it is about. Errors are StoreError (thiserror) with a stable code and advice; a test holds docs/operate/errors.md to it.

--- a/crates/accord/src/agreement.rs
+++ b/crates/accord/src/agreement.rs
@@ -292,7 +292,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::disk::MemDisk;
+    use crate::disk::LogFile;
+    use crate::place::{Fault, Memory};
     use crate::rules::Body;
 
     fn propose(token: u64, base: Version, tick: u64) -> Command {
@@ -303,8 +304,9 @@
     /// A lone voter elects itself, agrees with itself, and knows all again after a start, the log cut or not.
     #[test]
     fn a_voter_knows_after_a_start_what_was_agreed_and_is_unsettled_until_then() {
-        let mut disk = MemDisk::default();
-        let mut voter = Agreement::new(1, 1, Loaded::default()).unwrap();
+        let place = Memory::default();
+        let (mut disk, loaded) = LogFile::open(&place, "v", true).unwrap();
+        let mut voter = Agreement::new(1, 1, loaded).unwrap();
         for _ in 0..30 {
             voter.tick();
             voter.turn(&mut disk).unwrap();
@@ -315,8 +317,10 @@
             voter.turn(&mut disk).unwrap();
         }
         assert_eq!(voter.state().newest(), 600);
-        assert!(disk.held.entries.len() < 2 * KEPT as usize + 8, "{}", disk.held.entries.len());
-        let mut again = Agreement::new(1, 1, disk.held.clone()).unwrap();
+        drop(disk);
+        let (mut disk, loaded) = LogFile::open(&place, "v", false).unwrap();
+        assert!(loaded.entries.len() < 2 * KEPT as usize + 8, "{}", loaded.entries.len());
+        let mut again = Agreement::new(1, 1, loaded).unwrap();
         assert!(!again.settled(), "what follows the commit that was written is not known to be agreed yet");
         for _ in 0..30 {
             again.tick();
@@ -336,29 +340,14 @@
     /// A disk that fails once: nothing is acknowledged any more.
     #[test]
     fn a_voter_whose_disk_failed_takes_part_no_more() {
-        struct Full(MemDisk, u32);
-        impl Disk for Full {
-            fn append(
-                &mut self,
-                entries: &[Entry],
-                hard: Option<&raft::eraftpb::HardState>,
-            ) -> io::Result<()> {
-                self.1 = self.1.checked_sub(1).ok_or_else(|| io::Error::from(io::ErrorKind::StorageFull))?;
-                self.0.append(entries, hard)
-            }
-            fn replace(
-                &mut self,
-                s: &Snapshot,
-                e: &[Entry],
-                h: Option<&raft::eraftpb::HardState>,
-            ) -> io::Result<()> {
-                self.0.replace(s, e, h)
-            }
-        }
-        let mut disk = Full(MemDisk::default(), 3);
-        let mut voter = Agreement::new(1, 1, Loaded::default()).unwrap();
+        let place = Memory::default();
+        let (mut disk, loaded) = LogFile::open(&place, "v", true).unwrap();
+        let mut voter = Agreement::new(1, 1, loaded).unwrap();
         let mut failed = 0;
         for n in 0..60 {
+            if n == 30 {
+                place.plan(Fault::Sync);
+            }
             voter.tick();
             voter.propose(&propose(n, voter.state().newest(), n));
             failed += u32::from(voter.turn(&mut disk).is_err());
--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -1,10 +1,10 @@
 //! What a voter must not forget: votes, entries and pictures of the document, in one file of checked records.
 
+use crate::place::{Lasting, Place};
+use crate::store_error::StoreError;
 use protobuf::Message;
 use raft::eraftpb::{Entry, HardState, Snapshot};
-use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Write};
-use std::path::{Path, PathBuf};
+use std::io;
 
 /// What stood on a disk.
 #[derive(Debug, Default, Clone)]
@@ -20,10 +20,14 @@
 /// Where a voter writes. What is not on the disk when a call returns well must not be told to anyone.
 pub trait Disk {
     /// Adds entries, which replace those from their first index on, and the vote.
-    fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> io::Result<()>;
+    fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> Result<(), StoreError>;
     /// Writes all anew: a picture, and the entries after it.
-    fn replace(&mut self, snapshot: &Snapshot, entries: &[Entry], hard: Option<&HardState>)
-    -> io::Result<()>;
+    fn replace(
+        &mut self,
+        snapshot: &Snapshot,
+        entries: &[Entry],
+        hard: Option<&HardState>,
+    ) -> Result<(), StoreError>;
 }
 
 const OWNER: u8 = 0;
@@ -38,9 +42,11 @@
 /// The file of a voter.
 #[derive(Debug)]
 pub struct LogFile {
-    file: File,
-    path: PathBuf,
+    file: Box<dyn Lasting>,
+    place: String,
     owner: Vec<u8>,
+    /// A write or a sync failed. Another sync would say that all is well, and it would not be.
+    stopped: bool,
 }
 
 fn record(out: &mut Vec<u8>, kind: u8, payload: &[u8]) {
@@ -75,11 +81,6 @@
     (checksum(bytes[12], payload) == bytes[4..12]).then_some((bytes[12], payload, HEAD + length))
 }
 
-/// Takes the file for this process alone; `WouldBlock` while another has it.
-fn lock(file: &File) -> io::Result<()> {
-    Ok(rustix::fs::flock(file, rustix::fs::FlockOperation::NonBlockingLockExclusive)?)
-}
-
 fn written<M: Message>(message: &M) -> io::Result<Vec<u8>> {
     message.write_to_bytes().map_err(io::Error::other)
 }
@@ -91,82 +92,93 @@
 impl LogFile {
     /// Opens the file of a voter, or founds it where `found` says that there is none yet. A record that was not written
     /// to its end is cut off; damage before others, or another voter's file, is refused.
-    pub fn open(path: &Path, owner: &str, found: bool) -> io::Result<(LogFile, Loaded)> {
-        let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
-        let fault =
-            |text: String| io::Error::new(io::ErrorKind::InvalidData, format!("{}: {text}", path.display()));
-        let mut file = match OpenOptions::new().create(found).read(true).append(true).open(path) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => {
-                return Err(fault(
-                    "is not there; a voter that has lost it must not vote as if it had never voted. \
-                    Set tier.found for the very first start of the tier, or restore the file"
-                        .into(),
-                ));
-            }
-            opened => opened.map_err(named)?,
+    pub fn open<P: Place + ?Sized>(
+        place: &P,
+        owner: &str,
+        found: bool,
+    ) -> Result<(LogFile, Loaded), StoreError> {
+        let name = place.name();
+        let fault = |doing| {
+            let name = name.clone();
+            move |e| StoreError::of(&name, doing, e)
         };
-        lock(&file).map_err(named)?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).map_err(named)?;
+        let mut file = place.open(found).map_err(fault("open"))?;
+        let bytes = file.read().map_err(fault("read"))?;
         let (mut at, mut loaded, mut owned) = (0, Loaded::default(), false);
         while let Some((kind, payload, length)) = first(&bytes[at..]) {
             if !owned && (kind != OWNER || payload != owner.as_bytes()) {
-                let whose = String::from_utf8_lossy(payload);
-                return Err(fault(format!("belongs to {whose:?}, and this is {owner:?}")));
+                let whose = String::from_utf8_lossy(payload).into_owned();
+                return Err(StoreError::Foreign { place: name, whose, mine: owner.into() });
             }
             owned = true;
+            let newer = |what: String| StoreError::Newer { place: name.clone(), at, what };
+            let unread = |e: io::Error| newer(format!("a record of kind {kind} ({e})"));
             match kind {
                 OWNER => {}
                 ENTRY => {
-                    let entry: Entry = read(payload)?;
+                    let entry: Entry = read(payload).map_err(unread)?;
                     loaded.entries.retain(|e| e.index < entry.index);
                     loaded.entries.push(entry);
                 }
-                HARD => loaded.hard = read(payload)?,
+                HARD => loaded.hard = read(payload).map_err(unread)?,
                 PICTURE => {
                     loaded.entries.clear();
-                    loaded.snapshot = Some(read(payload)?);
-                }
-                other => {
-                    return Err(fault(format!(
-                        "byte {at}: a record of kind {other}, which this build does not know"
-                    )));
+                    loaded.snapshot = Some(read(payload).map_err(unread)?);
                 }
+                other => return Err(newer(format!("a record of kind {other}"))),
             }
             at += length;
         }
         // A torn record was never acknowledged; one that is whole further on was, so what lies before it is damaged.
-        if let Some(next) =
-            (at + 1..bytes.len()).find(|i| first(&bytes[*i..]).is_some_and(|r| r.0 <= PICTURE))
-        {
-            return Err(fault(format!("byte {at}: damaged, with good records from byte {next} on")));
+        let good = |i: &usize| first(&bytes[*i..]).is_some_and(|r| r.0 <= PICTURE);
+        if let Some(next) = (at + 1..bytes.len()).find(good) {
+            return Err(StoreError::Damaged { place: name, at, next });
         }
-        file.set_len(at as u64).map_err(named)?;
-        let mut log = LogFile { file, path: path.to_path_buf(), owner: owner.as_bytes().to_vec() };
+        file.cut(at as u64).map_err(fault("cut"))?;
+        let mut log = LogFile { file, place: name, owner: owner.as_bytes().to_vec(), stopped: false };
         if !owned {
             let mut out = Vec::new();
             record(&mut out, OWNER, &log.owner);
             log.write(&out)?;
-            log.sync_directory()?;
+            log.guarded("sync of the name", |file| file.sync_name())?;
         }
         Ok((log, loaded))
     }
 
-    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.file.write_all(bytes)?;
-        self.file.sync_data()
+    /// An operation after whose failure nothing more is taken.
+    fn guarded(
+        &mut self,
+        doing: &'static str,
+        work: impl FnOnce(&mut dyn Lasting) -> io::Result<()>,
+    ) -> Result<(), StoreError> {
+        if self.stopped {
+            return Err(StoreError::Stopped { place: self.place.clone() });
+        }
+        self.stopped = true;
+        work(&mut *self.file).map_err(|e| StoreError::of(&self.place, doing, e))?;
+        self.stopped = false;
+        Ok(())
     }
 
-    fn sync_directory(&self) -> io::Result<()> {
-        let directory = self.path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-        File::open(directory)?.sync_all()
+    fn write(&mut self, mut bytes: &[u8]) -> Result<(), StoreError> {
+        self.guarded("write", |file| {
+            while !bytes.is_empty() {
+                match file.write(bytes) {
+                    Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                    Ok(some) => bytes = &bytes[some..],
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    Err(e) => return Err(e),
+                }
+            }
+            file.sync()
+        })
     }
 }
 
 impl Disk for LogFile {
-    fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> io::Result<()> {
+    fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> Result<(), StoreError> {
         let mut out = Vec::new();
-        records(&mut out, entries, hard)?;
+        records(&mut out, entries, hard).map_err(|e| StoreError::of(&self.place, "encode", e))?;
         self.write(&out)
     }
 
@@ -175,55 +187,15 @@
         snapshot: &Snapshot,
         entries: &[Entry],
         hard: Option<&HardState>,
-    ) -> io::Result<()> {
+    ) -> Result<(), StoreError> {
         let mut out = Vec::new();
         record(&mut out, OWNER, &self.owner);
-        record(&mut out, PICTURE, &written(snapshot)?);
-        records(&mut out, entries, hard)?;
-        let fresh = self.path.with_extension("new");
-        let mut file = File::create(&fresh)?;
-        file.write_all(&out)?;
-        file.sync_all()?;
-        lock(&file)?;
-        std::fs::rename(&fresh, &self.path)?;
-        self.sync_directory()?;
-        // It goes on where the new file ends; the lock on the old one goes with it.
-        self.file = file;
-        Ok(())
-    }
-}
-
-/// A disk in memory, for virtual time: what was written is what the next start finds.
-#[derive(Clone, Debug, Default)]
-pub struct MemDisk {
-    /// What it holds.
-    pub held: Loaded,
-}
-
-impl Disk for MemDisk {
-    fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> io::Result<()> {
-        for entry in entries {
-            self.held.entries.retain(|e| e.index < entry.index);
-            self.held.entries.push(entry.clone());
-        }
-        if let Some(hard) = hard {
-            self.held.hard = hard.clone();
-        }
-        Ok(())
-    }
-
-    fn replace(
-        &mut self,
-        snapshot: &Snapshot,
-        entries: &[Entry],
-        hard: Option<&HardState>,
-    ) -> io::Result<()> {
-        self.held.snapshot = Some(snapshot.clone());
-        self.held.entries = entries.to_vec();
-        if let Some(hard) = hard {
-            self.held.hard = hard.clone();
-        }
-        Ok(())
+        let encoded = written(snapshot).and_then(|picture| {
+            record(&mut out, PICTURE, &picture);
+            records(&mut out, entries, hard)
+        });
+        encoded.map_err(|e| StoreError::of(&self.place, "encode", e))?;
+        self.guarded("replace", |file| file.swap(&out))
     }
 }
 
@@ -239,8 +211,8 @@
     fn a_file_cut_at_any_byte_loses_its_last_record_alone_and_damage_in_the_middle_is_refused() {
         let place = tempfile::tempdir().unwrap();
         let path = place.path().join("v");
-        assert!(LogFile::open(&path, "v of t", false).unwrap_err().to_string().contains("tier.found"));
-        let (mut log, _) = LogFile::open(&path, "v of t", true).unwrap();
+        assert!(LogFile::open(&*path, "v of t", false).unwrap_err().advice().contains("tier.found"));
+        let (mut log, _) = LogFile::open(&*path, "v of t", true).unwrap();
         let mut ends = vec![std::fs::metadata(&path).unwrap().len() as usize];
         for index in 1..=4 {
             log.append(&[entry(index)], None).unwrap();
@@ -250,32 +222,32 @@
         let whole = std::fs::read(&path).unwrap();
         for cut in ends[0]..=whole.len() {
             std::fs::write(&path, &whole[..cut]).unwrap();
-            let (mut log, loaded) = LogFile::open(&path, "v of t", false).unwrap();
+            let (mut log, loaded) = LogFile::open(&*path, "v of t", false).unwrap();
             let kept = ends.iter().filter(|e| **e <= cut).count() - 1;
             assert_eq!(loaded.entries.len(), kept, "cut at {cut}");
             // What comes next is not lost behind the torn one.
             log.append(&[entry(kept as u64 + 1)], None).unwrap();
-            assert_eq!(LogFile::open(&path, "v of t", false).unwrap_err().kind(), io::ErrorKind::WouldBlock);
+            assert_eq!(LogFile::open(&*path, "v of t", false).unwrap_err().code(), "store-taken");
             drop(log);
-            assert_eq!(LogFile::open(&path, "v of t", false).unwrap().1.entries.len(), kept + 1);
+            assert_eq!(LogFile::open(&*path, "v of t", false).unwrap().1.entries.len(), kept + 1);
         }
         let mut damaged = whole.clone();
         damaged[ends[1] + HEAD + 3] ^= 1;
         std::fs::write(&path, &damaged).unwrap();
-        assert!(LogFile::open(&path, "v of t", false).unwrap_err().to_string().contains("damaged"));
+        assert!(LogFile::open(&*path, "v of t", false).unwrap_err().to_string().contains("damaged"));
         std::fs::write(&path, &whole).unwrap();
         assert!(
-            LogFile::open(&path, "w of t", false).unwrap_err().to_string().contains("belongs to \"v of t\"")
+            LogFile::open(&*path, "w of t", false).unwrap_err().to_string().contains("belongs to \"v of t\"")
         );
         // A vote and a picture, and entries that replace others.
-        let (mut log, _) = LogFile::open(&path, "v of t", false).unwrap();
+        let (mut log, _) = LogFile::open(&*path, "v of t", false).unwrap();
         let mut picture = Snapshot::default();
         picture.mut_metadata().index = 4;
         log.replace(&picture, &[entry(5)], Some(&HardState { term: 3, vote: 2, ..HardState::default() }))
             .unwrap();
         log.append(&[entry(6), entry(5)], None).unwrap();
         drop(log);
-        let (_, loaded) = LogFile::open(&path, "v of t", false).unwrap();
+        let (_, loaded) = LogFile::open(&*path, "v of t", false).unwrap();
         assert_eq!(
             (loaded.entries.len(), loaded.hard.vote, loaded.snapshot.unwrap().get_metadata().index),
             (1, 2, 4)
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -1,6 +1,6 @@
 //! What the schedulers of a tier have agreed on, and for how long each may act on it.
 //!
-//! Pure cores, apart from [`disk`]: no sockets, no clock, time passed in. [`agreement`] has the voters agree on one
+//! Pure cores, apart from [`disk`] and the [`place`] beneath it: no sockets, no clock, time passed in. [`agreement`] has the voters agree on one
 //! document ([`state`]) by the Raft library; [`promises`] is what a voter has promised to whom, [`holder`] what a
 //! scheduler may act on now, [`timing`] the figures that both go by, with their proof in docs/design/0006-accord.md.
 //! [`rules`] tells which changes contradict each other and what is the strictest of two documents; [`check`] reads the
@@ -14,9 +14,11 @@
 pub mod frames;
 pub mod holder;
 pub mod lists;
+pub mod place;
 pub mod promises;
 pub mod rules;
 pub mod state;
+pub mod store_error;
 pub mod timing;
 
 /// A point in time or a span, in nanoseconds of whoever's clock is at hand.
--- /dev/null
+++ b/crates/accord/src/store_error.rs
@@ -0,0 +1,157 @@
+//! What can go wrong with a voter's store, and what an operator can do about it.
+
+use std::io;
+
+/// A fault of a voter's store. [`StoreError::code`] stays the same from build to build; docs/operate/errors.md has them all.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// There is no file.
+    #[error("{place}: is not there")]
+    Missing {
+        /// Where.
+        place: String,
+    },
+    /// Another process has it open.
+    #[error("{place}: another process has it")]
+    Taken {
+        /// Where.
+        place: String,
+    },
+    /// It was founded by another voter, or in a tier with other voters.
+    #[error("{place}: belongs to {whose:?}, and this is {mine:?}")]
+    Foreign {
+        /// Where.
+        place: String,
+        /// Its owner.
+        whose: String,
+        /// This voter.
+        mine: String,
+    },
+    /// What lies before good records cannot be read.
+    #[error("{place}: byte {at}: damaged, with good records from byte {next} on")]
+    Damaged {
+        /// Where.
+        place: String,
+        /// First byte that cannot be read.
+        at: usize,
+        /// Where the next good record begins.
+        next: usize,
+    },
+    /// A record that this build does not know, or whose contents it cannot read.
+    #[error("{place}: byte {at}: {what}, which this build does not know")]
+    Newer {
+        /// Where.
+        place: String,
+        /// Where the record begins.
+        at: usize,
+        /// What it is.
+        what: String,
+    },
+    /// The disk has no room.
+    #[error("{place}: the disk is full")]
+    Full {
+        /// Where.
+        place: String,
+    },
+    /// Reading, writing or syncing failed.
+    #[error("{place}: {doing}: {source}")]
+    Failed {
+        /// Where.
+        place: String,
+        /// What was under way.
+        doing: &'static str,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// An earlier write or sync failed, and nobody knows what of it is on the disk.
+    #[error("{place}: takes nothing more since a write or a sync failed")]
+    Stopped {
+        /// Where.
+        place: String,
+    },
+}
+
+impl StoreError {
+    /// One of each, for tests of pages and advice.
+    pub fn samples() -> Vec<StoreError> {
+        let place = || "p".to_string();
+        vec![
+            StoreError::Missing { place: place() },
+            StoreError::Taken { place: place() },
+            StoreError::Foreign { place: place(), whose: "a".into(), mine: "b".into() },
+            StoreError::Damaged { place: place(), at: 1, next: 2 },
+            StoreError::Newer { place: place(), at: 1, what: "a record of kind 9".into() },
+            StoreError::Full { place: place() },
+            StoreError::Failed { place: place(), doing: "sync", source: io::Error::other("x") },
+            StoreError::Stopped { place: place() },
+        ]
+    }
+
+    /// A stable name.
+    pub fn code(&self) -> &'static str {
+        match self {
+            StoreError::Missing { .. } => "store-missing",
+            StoreError::Taken { .. } => "store-taken",
+            StoreError::Foreign { .. } => "store-foreign",
+            StoreError::Damaged { .. } => "store-damaged",
+            StoreError::Newer { .. } => "store-newer",
+            StoreError::Full { .. } => "store-full",
+            StoreError::Failed { .. } => "store-failed",
+            StoreError::Stopped { .. } => "store-stopped",
+        }
+    }
+
+    /// What an operator can do.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            StoreError::Missing { .. } => {
+                "a voter that has lost its file must not vote as if it had never voted: set tier.found for the very \
+                 first start of the tier, else restore the file"
+            }
+            StoreError::Taken { .. } => {
+                "end the other process, or give this one a tier.store of its own; after an upgrade wait until the old \
+                 process has ended"
+            }
+            StoreError::Foreign { .. } => {
+                "name this voter's own file in tier.store; to change the voters, restart the whole tier with new files"
+            }
+            StoreError::Damaged { .. } => {
+                "do not cut the file: what follows the damage was acknowledged. Restore a copy of this very file, or \
+                 leave the voter out until the tier is founded anew"
+            }
+            StoreError::Newer { .. } => "start the build that wrote the file, or a newer one",
+            StoreError::Full { .. } => {
+                "make room on the disk and start the voter again; the others go on meanwhile"
+            }
+            StoreError::Failed { .. } => {
+                "look at the disk and the rights on the file, and start the voter again; the others go on meanwhile"
+            }
+            StoreError::Stopped { .. } => {
+                "look for the first error in the log, mend its cause, and start the voter again"
+            }
+        }
+    }
+
+    /// What a failed operation at a place comes to.
+    pub(crate) fn of(place: &str, doing: &'static str, source: io::Error) -> StoreError {
+        let place = place.to_string();
+        match source.kind() {
+            io::ErrorKind::NotFound => StoreError::Missing { place },
+            io::ErrorKind::WouldBlock => StoreError::Taken { place },
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => StoreError::Full { place },
+            _ => StoreError::Failed { place, doing, source },
+        }
+    }
+}
+
+impl From<StoreError> for io::Error {
+    fn from(e: StoreError) -> io::Error {
+        let kind = match &e {
+            StoreError::Taken { .. } => io::ErrorKind::WouldBlock,
+            StoreError::Missing { .. } => io::ErrorKind::NotFound,
+            StoreError::Full { .. } => io::ErrorKind::StorageFull,
+            _ => io::ErrorKind::InvalidData,
+        };
+        io::Error::new(kind, format!("{e}. [{}] {}", e.code(), e.advice()))
+    }
+}
--- /dev/null
+++ b/crates/contracts/src/lib.rs
@@ -0,0 +1,357 @@
+//! What every store under a voter must do, stated once. [`broken`] plays each clause on a store and names those that it
+//! breaks; a store that tears, fills up or loses power is made by a [`Faulty`] place beneath it.
+
+#![forbid(unsafe_code)]
+
+use loomlb_accord::disk::{Disk, Loaded};
+use loomlb_accord::place::{Fault, Lasting, Place};
+use loomlb_accord::store_error::StoreError;
+use raft::eraftpb::{Entry, HardState, Snapshot};
+use std::cell::Cell;
+use std::fmt;
+use std::io;
+use std::rc::Rc;
+
+/// A store as the suite needs it, empty when it is made.
+pub trait Subject {
+    /// Opens it for a voter.
+    fn open(&self, owner: &str, found: bool) -> Result<(Box<dyn Disk>, Loaded), StoreError>;
+    /// What lasts, byte for byte.
+    fn bytes(&self) -> Vec<u8>;
+    /// Puts other bytes there while nobody has it open.
+    fn set_bytes(&self, bytes: &[u8]);
+    /// Has this go wrong next.
+    fn plan(&self, fault: Fault);
+    /// The machine starts again: what is planned is over, and what was open is open no more.
+    fn restart(&self);
+}
+
+/// A clause that a store breaks.
+#[derive(Debug, thiserror::Error)]
+#[error("{clause}: {story}")]
+pub struct Broken {
+    /// The clause.
+    pub clause: &'static str,
+    /// What was seen.
+    pub story: String,
+}
+
+type Play = fn(&dyn Subject) -> Result<(), Seen>;
+
+/// What a clause saw that it must not see.
+#[derive(Debug)]
+pub struct Seen(String);
+
+impl From<StoreError> for Seen {
+    fn from(e: StoreError) -> Seen {
+        Seen(format!("an error: {e}"))
+    }
+}
+
+/// The clauses, by their words.
+pub const STORE: &[(&str, Play)] = &[
+    ("what was acknowledged is there again, in order", acknowledged),
+    ("an entry replaces those from its index on", replaces),
+    ("the latest vote counts", vote),
+    ("a picture stands for all before it", picture),
+    ("a torn tail loses what was not acknowledged alone", torn),
+    ("damage before good records is refused and left as it is", damage),
+    ("another's store is refused and left as it is", foreign),
+    ("one opener at a time", openers),
+    ("a store that is missing is not founded unasked", missing),
+    ("short writes lose nothing", short),
+    ("after a full disk nothing is acknowledged, and nothing is lost", full),
+    ("after a failed sync nothing is acknowledged, and nothing is lost", sync),
+    ("power may go at any byte of an append", power),
+    ("power may go in a replacement, which happened whole or not at all", power_in_swap),
+];
+
+/// Plays all clauses, each on a store of its own.
+pub fn broken(make: &dyn Fn() -> Box<dyn Subject>) -> Vec<Broken> {
+    let play = |(clause, play): &(&'static str, Play)| {
+        play(&*make()).err().map(|Seen(story)| Broken { clause, story })
+    };
+    STORE.iter().filter_map(play).collect()
+}
+
+const MINE: &str = "a of a, b, c";
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { index, term, data: vec![index as u8; 24].into(), ..Entry::default() }
+}
+
+fn hard(term: u64) -> HardState {
+    HardState { term, vote: 2, ..HardState::default() }
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    let mut picture = Snapshot::default();
+    picture.mut_metadata().index = index;
+    picture
+}
+
+fn same<T: PartialEq + fmt::Debug>(what: &str, seen: T, due: T) -> Result<(), Seen> {
+    if seen == due { Ok(()) } else { Err(Seen(format!("{what}: {seen:?}, and {due:?} is due"))) }
+}
+
+/// Index and term of what a reopened store holds.
+fn found(s: &dyn Subject) -> Result<Vec<(u64, u64)>, Seen> {
+    Ok(s.open(MINE, false)?.1.entries.iter().map(|e| (e.index, e.term)).collect())
+}
+
+/// A store with entries 1 to `n`, closed again.
+fn founded(s: &dyn Subject, n: u64) -> Result<(), Seen> {
+    let (mut disk, loaded) = s.open(MINE, true)?;
+    same("entries of a new store", loaded.entries.len(), 0)?;
+    (1..=n).try_for_each(|i| disk.append(&[entry(i, 1)], None))?;
+    Ok(())
+}
+
+fn all(n: u64) -> Vec<(u64, u64)> {
+    (1..=n).map(|i| (i, 1)).collect()
+}
+
+fn acknowledged(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 5)?;
+    for n in 6..9 {
+        same("entries", found(s)?, all(n - 1))?;
+        s.open(MINE, false)?.0.append(&[entry(n, 1)], None)?;
+    }
+    same("entries", found(s)?, all(8))
+}
+
+fn replaces(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 5)?;
+    s.open(MINE, false)?.0.append(&[entry(3, 2), entry(4, 2)], None)?;
+    same("entries", found(s)?, vec![(1, 1), (2, 1), (3, 2), (4, 2)])
+}
+
+fn vote(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 1)?;
+    for term in 1..4 {
+        s.open(MINE, false)?.0.append(&[], Some(&hard(term)))?;
+        same("term", s.open(MINE, false)?.1.hard.term, term)?;
+    }
+    Ok(())
+}
+
+fn picture(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 5)?;
+    let (mut disk, _) = s.open(MINE, false)?;
+    disk.replace(&snapshot(5), &[entry(6, 1)], Some(&hard(4)))?;
+    disk.append(&[entry(7, 1)], None)?;
+    drop(disk);
+    let (_, loaded) = s.open(MINE, false)?;
+    same("picture", loaded.snapshot.map(|p| p.get_metadata().index), Some(5))?;
+    same("term", loaded.hard.term, 4)?;
+    same("entries", loaded.entries.iter().map(|e| e.index).collect(), vec![6, 7])
+}
+
+fn torn(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let before = s.bytes().len();
+    s.open(MINE, false)?.0.append(&[entry(3, 1)], None)?;
+    let whole = s.bytes();
+    for cut in before..whole.len() {
+        s.set_bytes(&whole[..cut]);
+        same("entries of a torn store", found(s)?, all(2))?;
+        s.open(MINE, false)?.0.append(&[entry(3, 1)], None)?;
+        same("entries written after a tear", found(s)?, all(3))?;
+    }
+    Ok(())
+}
+
+fn damage(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let at = s.bytes().len() - 3;
+    s.open(MINE, false)?.0.append(&[entry(3, 1)], None)?;
+    let mut bytes = s.bytes();
+    bytes[at] ^= 1;
+    s.set_bytes(&bytes);
+    let refused = s.open(MINE, false).err().map(|e| e.code());
+    same("a damaged store", refused, Some("store-damaged"))?;
+    same("its bytes", s.bytes() == bytes, true)
+}
+
+fn foreign(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let before = s.bytes();
+    for owner in ["b of a, b, c", "a of a, b, d"] {
+        same("for another", s.open(owner, true).err().map(|e| e.code()), Some("store-foreign"))?;
+    }
+    same("its bytes", s.bytes() == before, true)?;
+    same("entries", found(s)?, all(2))
+}
+
+fn openers(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let (mut disk, _) = s.open(MINE, false)?;
+    same("for a second", s.open(MINE, false).err().map(|e| e.code()), Some("store-taken"))?;
+    // A replacement is another file, and no way round the first opener.
+    disk.replace(&snapshot(2), &[], None)?;
+    same("after a replacement", s.open(MINE, false).err().map(|e| e.code()), Some("store-taken"))?;
+    drop(disk);
+    s.open(MINE, false)?;
+    Ok(())
+}
+
+fn missing(s: &dyn Subject) -> Result<(), Seen> {
+    same("unasked", s.open(MINE, false).err().map(|e| e.code()), Some("store-missing"))?;
+    same("asked", s.open(MINE, true).is_ok(), true)?;
+    same("entries", found(s)?, Vec::new())
+}
+
+fn short(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let (mut disk, _) = s.open(MINE, false)?;
+    s.plan(Fault::Short(7));
+    disk.append(&[entry(3, 1)], None)?;
+    drop(disk);
+    s.restart();
+    same("entries", found(s)?, all(3))
+}
+
+/// After a fault nothing is acknowledged until it is opened anew, though the cause may be gone.
+fn stopped(s: &dyn Subject, fault: Fault) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let (mut disk, _) = s.open(MINE, false)?;
+    s.plan(fault);
+    same("a write that fails", disk.append(&[entry(3, 1)], None).is_err(), true)?;
+    same("the next one", disk.append(&[entry(4, 1)], None).is_err(), true)?;
+    same("a replacement", disk.replace(&snapshot(4), &[], None).is_err(), true)?;
+    drop(disk);
+    s.restart();
+    let after = found(s)?;
+    // What was not acknowledged may be there, whole and in its place.
+    if after == all(3) { Ok(()) } else { same("entries", after, all(2)) }
+}
+
+fn full(s: &dyn Subject) -> Result<(), Seen> {
+    stopped(s, Fault::Full(11))
+}
+
+fn sync(s: &dyn Subject) -> Result<(), Seen> {
+    stopped(s, Fault::Sync)
+}
+
+fn power(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 2)?;
+    let whole = s.bytes();
+    for reached in 0..64 {
+        s.set_bytes(&whole);
+        let (mut disk, _) = s.open(MINE, false)?;
+        s.plan(Fault::Power(reached));
+        same("a write that fails", disk.append(&[entry(3, 1)], None).is_err(), true)?;
+        drop(disk);
+        s.restart();
+        let after = found(s)?;
+        if after != all(3) {
+            same("entries", after, all(2))?;
+        }
+    }
+    Ok(())
+}
+
+fn power_in_swap(s: &dyn Subject) -> Result<(), Seen> {
+    founded(s, 3)?;
+    let (mut disk, _) = s.open(MINE, false)?;
+    s.plan(Fault::Power(20));
+    let done = disk.replace(&snapshot(3), &[entry(4, 1)], None).is_ok();
+    drop(disk);
+    s.restart();
+    let (_, loaded) = s.open(MINE, false)?;
+    let is: Vec<u64> = loaded.entries.iter().map(|e| e.index).collect();
+    match loaded.snapshot {
+        Some(_) => same("entries after the picture", is, vec![4]),
+        None if done => Err(Seen("an acknowledged replacement is lost".into())),
+        None => same("entries without the picture", is, vec![1, 2, 3]),
+    }
+}
+
+/// A place that fails as planned, over another one.
+#[derive(Clone, Debug)]
+pub struct Faulty<P> {
+    /// The place beneath.
+    pub place: P,
+    /// What goes wrong next.
+    pub fault: Rc<Cell<Option<Fault>>>,
+}
+
+impl<P: Place> Place for Faulty<P> {
+    fn name(&self) -> String {
+        self.place.name()
+    }
+    fn open(&self, create: bool) -> io::Result<Box<dyn Lasting>> {
+        let file = self.place.open(create)?;
+        Ok(Box::new(Failing { file, fault: Rc::clone(&self.fault), dead: false }))
+    }
+}
+
+#[derive(Debug)]
+struct Failing {
+    file: Box<dyn Lasting>,
+    fault: Rc<Cell<Option<Fault>>>,
+    dead: bool,
+}
+
+impl Failing {
+    fn lives(&self) -> io::Result<()> {
+        if self.dead { Err(io::Error::other("power was lost")) } else { Ok(()) }
+    }
+}
+
+impl Lasting for Failing {
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        self.lives()?;
+        self.file.read()
+    }
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.lives()?;
+        let some = match self.fault.get() {
+            Some(Fault::Full(0)) => return Err(io::ErrorKind::StorageFull.into()),
+            Some(Fault::Full(room)) => {
+                self.fault.set(Some(Fault::Full(room - room.min(bytes.len()))));
+                room
+            }
+            Some(Fault::Short(most)) => most.max(1),
+            Some(Fault::Power(reached)) => {
+                self.dead = true;
+                let mut left = &bytes[..reached.min(bytes.len())];
+                while !left.is_empty() {
+                    left = &left[self.file.write(left)?..];
+                }
+                return Err(io::Error::other("power was lost"));
+            }
+            _ => bytes.len(),
+        };
+        self.file.write(&bytes[..some.min(bytes.len())])
+    }
+    fn sync(&mut self) -> io::Result<()> {
+        self.lives()?;
+        if self.fault.get() == Some(Fault::Sync) {
+            self.fault.set(None);
+            return Err(io::Error::other("a sync failed"));
+        }
+        self.file.sync()
+    }
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        self.lives()?;
+        self.file.cut(length)
+    }
+    fn swap(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.lives()?;
+        match self.fault.get() {
+            Some(Fault::Full(_)) => Err(io::ErrorKind::StorageFull.into()),
+            Some(Fault::Sync) => Err(io::Error::other("a sync failed")),
+            Some(Fault::Power(_)) => {
+                self.dead = true;
+                Err(io::Error::other("power was lost"))
+            }
+            _ => self.file.swap(bytes),
+        }
+    }
+    fn sync_name(&mut self) -> io::Result<()> {
+        self.lives()?;
+        self.file.sync_name()
+    }
+}
--- /dev/null
+++ b/crates/contracts/tests/store.rs
@@ -0,0 +1,267 @@
+//! Every store passes the same clauses, and a store with one planted fault breaks the clause that the fault is about.
+
+use loomlb_accord::disk::{Disk, Loaded, LogFile};
+use loomlb_accord::place::{Fault, Lasting, Memory, Place};
+use loomlb_accord::store_error::StoreError;
+use loomlb_contracts::{Faulty, STORE, Subject, broken};
+use raft::eraftpb::{Entry, HardState, Snapshot};
+use std::cell::Cell;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+
+/// A voter's log on the place in memory.
+#[derive(Debug, Default)]
+struct InMemory(Memory);
+
+impl Subject for InMemory {
+    fn open(&self, owner: &str, found: bool) -> Result<(Box<dyn Disk>, Loaded), StoreError> {
+        LogFile::open(&self.0, owner, found).map(|(log, loaded)| (Box::new(log) as Box<dyn Disk>, loaded))
+    }
+    fn bytes(&self) -> Vec<u8> {
+        self.0.bytes()
+    }
+    fn set_bytes(&self, bytes: &[u8]) {
+        self.0.set_bytes(bytes);
+    }
+    fn plan(&self, fault: Fault) {
+        self.0.plan(fault);
+    }
+    fn restart(&self) {
+        self.0.power_lost(0);
+    }
+}
+
+/// A file's place, by name.
+#[derive(Clone, Debug)]
+struct At(std::path::PathBuf);
+
+impl Place for At {
+    fn name(&self) -> String {
+        self.0.name()
+    }
+    fn open(&self, create: bool) -> io::Result<Box<dyn Lasting>> {
+        Place::open(self.0.as_path(), create)
+    }
+}
+
+/// A voter's log on a real file, with faults put between them.
+struct OnDisk {
+    place: Faulty<At>,
+    _directory: tempfile::TempDir,
+}
+
+impl OnDisk {
+    fn new() -> OnDisk {
+        let directory = tempfile::tempdir().unwrap();
+        let place = Faulty { place: At(directory.path().join("voter.log")), fault: Rc::new(Cell::new(None)) };
+        OnDisk { place, _directory: directory }
+    }
+    fn path(&self) -> &Path {
+        &self.place.place.0
+    }
+}
+
+impl Subject for OnDisk {
+    fn open(&self, owner: &str, found: bool) -> Result<(Box<dyn Disk>, Loaded), StoreError> {
+        LogFile::open(&self.place, owner, found).map(|(log, loaded)| (Box::new(log) as Box<dyn Disk>, loaded))
+    }
+    fn bytes(&self) -> Vec<u8> {
+        std::fs::read(self.path()).unwrap()
+    }
+    fn set_bytes(&self, bytes: &[u8]) {
+        std::fs::write(self.path(), bytes).unwrap();
+    }
+    fn plan(&self, fault: Fault) {
+        self.place.fault.set(Some(fault));
+    }
+    fn restart(&self) {
+        self.place.fault.set(None);
+    }
+}
+
+#[test]
+fn a_voters_log_keeps_the_contract_in_memory_and_on_a_file() {
+    let in_memory = broken(&|| Box::new(InMemory::default()));
+    assert!(in_memory.is_empty(), "{in_memory:#?}");
+    let on_disk = broken(&|| Box::new(OnDisk::new()));
+    assert!(on_disk.is_empty(), "{on_disk:#?}");
+}
+
+/// A fault that a store or the place beneath it may have.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Bad {
+    Forgets,
+    FirstEntryStays,
+    FirstVoteStays,
+    PictureLost,
+    TornRefused,
+    DamageCut,
+    AnyOwner,
+    TwoOpeners,
+    FoundsUnasked,
+    ShortTakenForWhole,
+    FullTakenForDone,
+    SyncTakenForDone,
+    TornTakenForWhole,
+    SwapInPlace,
+}
+
+#[derive(Debug)]
+struct BadPlace(Memory, Bad);
+
+impl Place for BadPlace {
+    fn name(&self) -> String {
+        self.0.name()
+    }
+    fn open(&self, create: bool) -> io::Result<Box<dyn Lasting>> {
+        let file = self.0.open(create)?;
+        Ok(Box::new(BadFile { file, place: self.0.clone(), bad: self.1 }))
+    }
+}
+
+#[derive(Debug)]
+struct BadFile {
+    file: Box<dyn Lasting>,
+    place: Memory,
+    bad: Bad,
+}
+
+impl Lasting for BadFile {
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        self.file.read()
+    }
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match (self.file.write(bytes), self.bad) {
+            (Ok(_), Bad::ShortTakenForWhole) => Ok(bytes.len()),
+            (Err(e), Bad::FullTakenForDone) if e.kind() == io::ErrorKind::StorageFull => Ok(bytes.len()),
+            (done, _) => done,
+        }
+    }
+    fn sync(&mut self) -> io::Result<()> {
+        match self.file.sync() {
+            Err(_) if self.bad == Bad::SyncTakenForDone => Ok(()),
+            done => done,
+        }
+    }
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        self.file.cut(length)
+    }
+    fn swap(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let swapped = self.file.swap(bytes);
+        if swapped.is_err() && self.bad == Bad::SwapInPlace {
+            self.place.set_bytes(&bytes[..bytes.len() / 2]);
+        }
+        swapped
+    }
+    fn sync_name(&mut self) -> io::Result<()> {
+        self.file.sync_name()
+    }
+}
+
+struct BadStore(Memory, Bad);
+
+struct BadLog(Box<dyn Disk>, Bad, u64);
+
+impl Disk for BadLog {
+    fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> Result<(), StoreError> {
+        let last = self.2;
+        self.2 = entries.last().map_or(last, |e| e.index);
+        match self.1 {
+            Bad::Forgets if entries.iter().any(|e| e.index == 7) => Ok(()),
+            Bad::FirstEntryStays if entries.first().is_some_and(|e| e.index <= last) => Ok(()),
+            Bad::FirstVoteStays if hard.is_some_and(|h| h.term > 1) => Ok(()),
+            _ => self.0.append(entries, hard),
+        }
+    }
+    fn replace(
+        &mut self,
+        snapshot: &Snapshot,
+        entries: &[Entry],
+        hard: Option<&HardState>,
+    ) -> Result<(), StoreError> {
+        match self.1 {
+            Bad::PictureLost => self.0.append(entries, hard),
+            _ => self.0.replace(snapshot, entries, hard),
+        }
+    }
+}
+
+impl Subject for BadStore {
+    fn open(&self, owner: &str, found: bool) -> Result<(Box<dyn Disk>, Loaded), StoreError> {
+        let BadStore(memory, bad) = self;
+        let before = memory.bytes().len();
+        if *bad == Bad::TwoOpeners {
+            // A lock that holds nobody back.
+            memory.power_lost(usize::MAX);
+        }
+        let whose = if *bad == Bad::AnyOwner { "a of a, b, c" } else { owner };
+        let opened =
+            LogFile::open(&BadPlace(memory.clone(), *bad), whose, found || *bad == Bad::FoundsUnasked);
+        let opened = match opened {
+            Err(StoreError::Damaged { at, .. }) if *bad == Bad::DamageCut => {
+                memory.set_bytes(&memory.bytes()[..at]);
+                LogFile::open(memory, whose, found)
+            }
+            opened => opened,
+        };
+        let (log, mut loaded) = opened?;
+        let at = memory.bytes().len();
+        if *bad == Bad::TornRefused && at < before {
+            return Err(StoreError::Damaged { place: memory.name(), at, next: before });
+        }
+        if *bad == Bad::TornTakenForWhole && loaded.entries.len() == 2 {
+            loaded.entries.push(Entry { index: 3, ..Entry::default() });
+        }
+        let last = loaded.entries.last().map_or(0, |e| e.index);
+        Ok((Box::new(BadLog(Box::new(log), *bad, last)), loaded))
+    }
+    fn bytes(&self) -> Vec<u8> {
+        self.0.bytes()
+    }
+    fn set_bytes(&self, bytes: &[u8]) {
+        self.0.set_bytes(bytes);
+    }
+    fn plan(&self, fault: Fault) {
+        self.0.plan(fault);
+    }
+    fn restart(&self) {
+        self.0.power_lost(0);
+    }
+}
+
+#[test]
+fn each_clause_is_broken_by_a_store_with_the_fault_that_it_is_about() {
+    let planted = [
+        Bad::Forgets,
+        Bad::FirstEntryStays,
+        Bad::FirstVoteStays,
+        Bad::PictureLost,
+        Bad::TornRefused,
+        Bad::DamageCut,
+        Bad::AnyOwner,
+        Bad::TwoOpeners,
+        Bad::FoundsUnasked,
+        Bad::ShortTakenForWhole,
+        Bad::FullTakenForDone,
+        Bad::SyncTakenForDone,
+        Bad::TornTakenForWhole,
+        Bad::SwapInPlace,
+    ];
+    for ((clause, _), bad) in STORE.iter().zip(planted) {
+        let found = broken(&|| Box::new(BadStore(Memory::default(), bad)));
+        assert!(found.iter().any(|b| b.clause == *clause), "{bad:?} is not found by {clause:?}: {found:#?}");
+    }
+    assert_eq!(STORE.len(), planted.len());
+}
+
+/// Whoever reads an error finds what to do, there and on the page.
+#[test]
+fn every_error_of_a_store_has_its_advice_and_its_entry_on_the_page() {
+    let page = include_str!("../../../docs/operate/errors.md");
+    for error in StoreError::samples() {
+        let row = page.lines().find(|l| l.starts_with(&format!("| `{}` |", error.code())));
+        assert!(row.is_some_and(|row| row.split('|').count() >= 5), "{}: not on the page", error.code());
+        assert!(error.advice().len() > 20, "{}: no advice", error.code());
+    }
+}
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -4,10 +4,11 @@
 
 use loomlb_accord::agreement::{self, Agreement, TICK};
 use loomlb_accord::check::{Event as Did, Line, Verdict, judge};
-use loomlb_accord::disk::MemDisk;
+use loomlb_accord::disk::LogFile;
 use loomlb_accord::frames::Word;
 use loomlb_accord::holder::Holder;
 use loomlb_accord::lists::{Mine, Theirs};
+use loomlb_accord::place::Memory;
 use loomlb_accord::promises::Promises;
 use loomlb_accord::rules::Body;
 use loomlb_accord::state::{Command, Outcome, State};
@@ -101,7 +102,8 @@
     rate: f64,
     holder: Holder,
     voter: Option<(Agreement, Promises)>,
-    disk: MemDisk,
+    place: Memory,
+    log: Option<LogFile>,
     may: bool,
     proposal: Option<Command>,
 }
@@ -206,7 +208,8 @@
                 rate,
                 holder,
                 voter: None,
-                disk: MemDisk::default(),
+                place: Memory::default(),
+                log: None,
                 may: false,
                 proposal: None,
             });
@@ -252,7 +255,13 @@
         node.holder = Holder::new(self.timing, self.trial.voters);
         if n < self.trial.voters {
             let (id, all) = (n as u64 + 1, self.trial.voters as u64);
-            let agreement = Agreement::new(id, all, node.disk.held.clone()).map_err(|e| e.to_string())?;
+            // What its last process had open is closed; what that was told lasts, does.
+            node.log = None;
+            node.place.power_lost(0);
+            let (log, loaded) =
+                LogFile::open(&node.place, &id.to_string(), true).map_err(|e| e.to_string())?;
+            node.log = Some(log);
+            let agreement = Agreement::new(id, all, loaded).map_err(|e| e.to_string())?;
             let since = match self.trial.without {
                 Without::Quiet => None,
                 _ => Some(self.clock(n)),
@@ -371,9 +380,9 @@
 
     /// Lets a voter do what it has to, and sees what has been agreed.
     fn turn(&mut self, n: usize) -> Result<(), String> {
-        let mut disk = std::mem::take(&mut self.nodes[n].disk);
-        let out = self.voter(n, |agreement, _, _| agreement.turn(&mut disk));
-        self.nodes[n].disk = disk;
+        let Some(mut log) = self.nodes[n].log.take() else { return Ok(()) };
+        let out = self.voter(n, |agreement, _, _| agreement.turn(&mut log));
+        self.nodes[n].log = Some(log);
         for message in out.transpose().map_err(|e| e.to_string())?.unwrap_or_default() {
             self.send(n, message.to as usize - 1, Word::Raft(agreement::bytes(&message)));
         }
