--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -394,6 +394,19 @@
 mod tests {
     use super::*;
 
+    /// What a silent watch misses counts as told 6 s after it fell silent, or 2 s after its wait is over if that is later: by
+    /// then it is given up, and discovery asked anew, with time for an answer.
+    #[test]
+    fn a_silent_watch_is_asked_anew_before_what_it_missed_counts_as_told() {
+        let second = Duration::from_secs(1);
+        let told = (6 * second).max(HOLD + 2 * second);
+        assert!(HOLD + PATIENCE + RETRY + second / 2 <= told);
+        assert!(
+            PATIENCE + RETRY + PATIENCE + RETRY <= 4 * second,
+            "after SIGHUP, one call in vain, what is there counts"
+        );
+    }
+
     #[test]
     fn numbers_fit_32_bits_and_follow_from_the_name_alone() {
         assert_eq!(number("s-5be2a07c"), WorkerId(0x5be2_a07c));
--- a/tests/emulated.rs
+++ b/tests/emulated.rs
@@ -3,7 +3,7 @@
 use loomlb_emulator::{Options, Stop};
 use loomlb_model::{Day, TroubleKind};
 
-/// A quarter of a minute with all seventeen troubles: what was taken is answered once and in time, nothing runs twice
+/// A quarter of a minute with all eighteen troubles: what was taken is answered once and in time, nothing runs twice
 /// that must not, no drained, cold or gone worker gets what it should not, and no scheduler ends by itself.
 #[test]
 fn a_day_with_every_trouble_breaks_no_rule() {
