A place is any Place by reference, and the contract's test has one store in memory

Read again: Place stood on the unsized Path, so the log's opening needed a type parameter, callers as_path(), and the test a wrapper of its own to put faults over a file; it stands on PathBuf now and open takes &dyn Place. The test's store in memory and its faulty twin shared four of five functions: one, with a planted fault or none.

--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -92,11 +92,7 @@
 impl LogFile {
     /// Opens the file of a voter, or founds it where `found` says that there is none yet. A record that was not written
     /// to its end is cut off; damage before others, or another voter's file, is refused.
-    pub fn open<P: Place + ?Sized>(
-        place: &P,
-        owner: &str,
-        found: bool,
-    ) -> Result<(LogFile, Loaded), StoreError> {
+    pub fn open(place: &dyn Place, owner: &str, found: bool) -> Result<(LogFile, Loaded), StoreError> {
         let name = place.name();
         let fault = |doing| {
             let name = name.clone();
@@ -211,8 +207,8 @@
     fn a_file_cut_at_any_byte_loses_its_last_record_alone_and_damage_in_the_middle_is_refused() {
         let place = tempfile::tempdir().unwrap();
         let path = place.path().join("v");
-        assert!(LogFile::open(&*path, "v of t", false).unwrap_err().advice().contains("tier.found"));
-        let (mut log, _) = LogFile::open(&*path, "v of t", true).unwrap();
+        assert!(LogFile::open(&path, "v of t", false).unwrap_err().advice().contains("tier.found"));
+        let (mut log, _) = LogFile::open(&path, "v of t", true).unwrap();
         let mut ends = vec![std::fs::metadata(&path).unwrap().len() as usize];
         for index in 1..=4 {
             log.append(&[entry(index)], None).unwrap();
@@ -222,32 +218,32 @@
         let whole = std::fs::read(&path).unwrap();
         for cut in ends[0]..=whole.len() {
             std::fs::write(&path, &whole[..cut]).unwrap();
-            let (mut log, loaded) = LogFile::open(&*path, "v of t", false).unwrap();
+            let (mut log, loaded) = LogFile::open(&path, "v of t", false).unwrap();
             let kept = ends.iter().filter(|e| **e <= cut).count() - 1;
             assert_eq!(loaded.entries.len(), kept, "cut at {cut}");
             // What comes next is not lost behind the torn one.
             log.append(&[entry(kept as u64 + 1)], None).unwrap();
-            assert_eq!(LogFile::open(&*path, "v of t", false).unwrap_err().code(), "store-taken");
+            assert_eq!(LogFile::open(&path, "v of t", false).unwrap_err().code(), "store-taken");
             drop(log);
-            assert_eq!(LogFile::open(&*path, "v of t", false).unwrap().1.entries.len(), kept + 1);
+            assert_eq!(LogFile::open(&path, "v of t", false).unwrap().1.entries.len(), kept + 1);
         }
         let mut damaged = whole.clone();
         damaged[ends[1] + HEAD + 3] ^= 1;
         std::fs::write(&path, &damaged).unwrap();
-        assert!(LogFile::open(&*path, "v of t", false).unwrap_err().to_string().contains("damaged"));
+        assert!(LogFile::open(&path, "v of t", false).unwrap_err().to_string().contains("damaged"));
         std::fs::write(&path, &whole).unwrap();
         assert!(
-            LogFile::open(&*path, "w of t", false).unwrap_err().to_string().contains("belongs to \"v of t\"")
+            LogFile::open(&path, "w of t", false).unwrap_err().to_string().contains("belongs to \"v of t\"")
         );
         // A vote and a picture, and entries that replace others.
-        let (mut log, _) = LogFile::open(&*path, "v of t", false).unwrap();
+        let (mut log, _) = LogFile::open(&path, "v of t", false).unwrap();
         let mut picture = Snapshot::default();
         picture.mut_metadata().index = 4;
         log.replace(&picture, &[entry(5)], Some(&HardState { term: 3, vote: 2, ..HardState::default() }))
             .unwrap();
         log.append(&[entry(6), entry(5)], None).unwrap();
         drop(log);
-        let (_, loaded) = LogFile::open(&*path, "v of t", false).unwrap();
+        let (_, loaded) = LogFile::open(&path, "v of t", false).unwrap();
         assert_eq!(
             (loaded.entries.len(), loaded.hard.vote, loaded.snapshot.unwrap().get_metadata().index),
             (1, 2, 4)
--- a/crates/accord/src/place.rs
+++ b/crates/accord/src/place.rs
@@ -32,7 +32,7 @@
     fn sync_name(&mut self) -> io::Result<()>;
 }
 
-impl Place for Path {
+impl Place for PathBuf {
     fn name(&self) -> String {
         self.display().to_string()
     }
@@ -40,7 +40,7 @@
     fn open(&self, create: bool) -> io::Result<Box<dyn Lasting>> {
         let file = OpenOptions::new().create(create).read(true).append(true).open(self)?;
         lock(&file)?;
-        Ok(Box::new(OnDisk { file, path: self.to_path_buf() }))
+        Ok(Box::new(OnDisk { file, path: self.clone() }))
     }
 }
 
--- a/crates/contracts/tests/store.rs
+++ b/crates/contracts/tests/store.rs
@@ -10,55 +10,20 @@
 use std::path::Path;
 use std::rc::Rc;
 
-/// A voter's log on the place in memory.
-#[derive(Debug, Default)]
-struct InMemory(Memory);
-
-impl Subject for InMemory {
-    fn open(&self, owner: &str, found: bool) -> Result<(Box<dyn Disk>, Loaded), StoreError> {
-        LogFile::open(&self.0, owner, found).map(|(log, loaded)| (Box::new(log) as Box<dyn Disk>, loaded))
-    }
-    fn bytes(&self) -> Vec<u8> {
-        self.0.bytes()
-    }
-    fn set_bytes(&self, bytes: &[u8]) {
-        self.0.set_bytes(bytes);
-    }
-    fn plan(&self, fault: Fault) {
-        self.0.plan(fault);
-    }
-    fn restart(&self) {
-        self.0.power_lost(0);
-    }
-}
-
-/// A file's place, by name.
-#[derive(Clone, Debug)]
-struct At(std::path::PathBuf);
-
-impl Place for At {
-    fn name(&self) -> String {
-        self.0.name()
-    }
-    fn open(&self, create: bool) -> io::Result<Box<dyn Lasting>> {
-        Place::open(self.0.as_path(), create)
-    }
-}
-
 /// A voter's log on a real file, with faults put between them.
 struct OnDisk {
-    place: Faulty<At>,
+    place: Faulty<std::path::PathBuf>,
     _directory: tempfile::TempDir,
 }
 
 impl OnDisk {
     fn new() -> OnDisk {
         let directory = tempfile::tempdir().unwrap();
-        let place = Faulty { place: At(directory.path().join("voter.log")), fault: Rc::new(Cell::new(None)) };
+        let place = Faulty { place: directory.path().join("voter.log"), fault: Rc::new(Cell::new(None)) };
         OnDisk { place, _directory: directory }
     }
     fn path(&self) -> &Path {
-        &self.place.place.0
+        &self.place.place
     }
 }
 
@@ -82,7 +47,7 @@
 
 #[test]
 fn a_voters_log_keeps_the_contract_in_memory_and_on_a_file() {
-    let in_memory = broken(&|| Box::new(InMemory::default()));
+    let in_memory = broken(&|| Box::new(InMemory(Memory::default(), None)));
     assert!(in_memory.is_empty(), "{in_memory:#?}");
     let on_disk = broken(&|| Box::new(OnDisk::new()));
     assert!(on_disk.is_empty(), "{on_disk:#?}");
@@ -108,7 +73,7 @@
 }
 
 #[derive(Debug)]
-struct BadPlace(Memory, Bad);
+struct BadPlace(Memory, Option<Bad>);
 
 impl Place for BadPlace {
     fn name(&self) -> String {
@@ -124,7 +89,7 @@
 struct BadFile {
     file: Box<dyn Lasting>,
     place: Memory,
-    bad: Bad,
+    bad: Option<Bad>,
 }
 
 impl Lasting for BadFile {
@@ -133,14 +98,16 @@
     }
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         match (self.file.write(bytes), self.bad) {
-            (Ok(_), Bad::ShortTakenForWhole) => Ok(bytes.len()),
-            (Err(e), Bad::FullTakenForDone) if e.kind() == io::ErrorKind::StorageFull => Ok(bytes.len()),
+            (Ok(_), Some(Bad::ShortTakenForWhole)) => Ok(bytes.len()),
+            (Err(e), Some(Bad::FullTakenForDone)) if e.kind() == io::ErrorKind::StorageFull => {
+                Ok(bytes.len())
+            }
             (done, _) => done,
         }
     }
     fn sync(&mut self) -> io::Result<()> {
         match self.file.sync() {
-            Err(_) if self.bad == Bad::SyncTakenForDone => Ok(()),
+            Err(_) if self.bad == Some(Bad::SyncTakenForDone) => Ok(()),
             done => done,
         }
     }
@@ -149,7 +116,7 @@
     }
     fn swap(&mut self, bytes: &[u8]) -> io::Result<()> {
         let swapped = self.file.swap(bytes);
-        if swapped.is_err() && self.bad == Bad::SwapInPlace {
+        if swapped.is_err() && self.bad == Some(Bad::SwapInPlace) {
             self.place.set_bytes(&bytes[..bytes.len() / 2]);
         }
         swapped
@@ -159,18 +126,19 @@
     }
 }
 
-struct BadStore(Memory, Bad);
+/// A voter's log on the place in memory, with a planted fault or none.
+struct InMemory(Memory, Option<Bad>);
 
-struct BadLog(Box<dyn Disk>, Bad, u64);
+struct BadLog(Box<dyn Disk>, Option<Bad>, u64);
 
 impl Disk for BadLog {
     fn append(&mut self, entries: &[Entry], hard: Option<&HardState>) -> Result<(), StoreError> {
         let last = self.2;
         self.2 = entries.last().map_or(last, |e| e.index);
         match self.1 {
-            Bad::Forgets if entries.iter().any(|e| e.index == 7) => Ok(()),
-            Bad::FirstEntryStays if entries.first().is_some_and(|e| e.index <= last) => Ok(()),
-            Bad::FirstVoteStays if hard.is_some_and(|h| h.term > 1) => Ok(()),
+            Some(Bad::Forgets) if entries.iter().any(|e| e.index == 7) => Ok(()),
+            Some(Bad::FirstEntryStays) if entries.first().is_some_and(|e| e.index <= last) => Ok(()),
+            Some(Bad::FirstVoteStays) if hard.is_some_and(|h| h.term > 1) => Ok(()),
             _ => self.0.append(entries, hard),
         }
     }
@@ -181,25 +149,25 @@
         hard: Option<&HardState>,
     ) -> Result<(), StoreError> {
         match self.1 {
-            Bad::PictureLost => self.0.append(entries, hard),
+            Some(Bad::PictureLost) => self.0.append(entries, hard),
             _ => self.0.replace(snapshot, entries, hard),
         }
     }
 }
 
-impl Subject for BadStore {
+impl Subject for InMemory {
     fn open(&self, owner: &str, found: bool) -> Result<(Box<dyn Disk>, Loaded), StoreError> {
-        let BadStore(memory, bad) = self;
+        let InMemory(memory, bad) = self;
         let before = memory.bytes().len();
-        if *bad == Bad::TwoOpeners {
+        if *bad == Some(Bad::TwoOpeners) {
             // A lock that holds nobody back.
             memory.power_lost(usize::MAX);
         }
-        let whose = if *bad == Bad::AnyOwner { "a of a, b, c" } else { owner };
+        let whose = if *bad == Some(Bad::AnyOwner) { "a of a, b, c" } else { owner };
         let opened =
-            LogFile::open(&BadPlace(memory.clone(), *bad), whose, found || *bad == Bad::FoundsUnasked);
+            LogFile::open(&BadPlace(memory.clone(), *bad), whose, found || *bad == Some(Bad::FoundsUnasked));
         let opened = match opened {
-            Err(StoreError::Damaged { at, .. }) if *bad == Bad::DamageCut => {
+            Err(StoreError::Damaged { at, .. }) if *bad == Some(Bad::DamageCut) => {
                 memory.set_bytes(&memory.bytes()[..at]);
                 LogFile::open(memory, whose, found)
             }
@@ -207,10 +175,10 @@
         };
         let (log, mut loaded) = opened?;
         let at = memory.bytes().len();
-        if *bad == Bad::TornRefused && at < before {
+        if *bad == Some(Bad::TornRefused) && at < before {
             return Err(StoreError::Damaged { place: memory.name(), at, next: before });
         }
-        if *bad == Bad::TornTakenForWhole && loaded.entries.len() == 2 {
+        if *bad == Some(Bad::TornTakenForWhole) && loaded.entries.len() == 2 {
             loaded.entries.push(Entry { index: 3, ..Entry::default() });
         }
         let last = loaded.entries.last().map_or(0, |e| e.index);
@@ -249,7 +217,7 @@
         Bad::SwapInPlace,
     ];
     for ((clause, _), bad) in STORE.iter().zip(planted) {
-        let found = broken(&|| Box::new(BadStore(Memory::default(), bad)));
+        let found = broken(&|| Box::new(InMemory(Memory::default(), Some(bad))));
         assert!(found.iter().any(|b| b.clause == *clause), "{bad:?} is not found by {clause:?}: {found:#?}");
     }
     assert_eq!(STORE.len(), planted.len());
--- a/crates/scheduler/src/tier.rs
+++ b/crates/scheduler/src/tier.rs
@@ -387,7 +387,7 @@
     let store = spec.store.as_ref().ok_or_else(|| needed("store"))?;
     let names: Vec<&str> = spec.voters.iter().map(|v| &*v.name).collect();
     let owner = format!("{name} of {}", names.join(", "));
-    let (log, loaded) = LogFile::open(store.as_path(), &owner, spec.found)?;
+    let (log, loaded) = LogFile::open(store, &owner, spec.found)?;
     let listener = std::net::TcpListener::bind(at)?;
     listener.set_nonblocking(true)?;
     let agreement = Agreement::new(number, spec.voters.len() as u64, loaded)?;
--- a/tests/tier.rs
+++ b/tests/tier.rs
@@ -229,7 +229,7 @@
 fn a_process_whose_voter_file_another_has_serves_and_votes_once_it_is_free() {
     let mut rig = rig(3, false);
     rig.kill(0);
-    let (earlier, _) = LogFile::open(rig.store(0).as_path(), "n0 of n0, n1, n2", false).unwrap();
+    let (earlier, _) = LogFile::open(&rig.store(0), "n0 of n0, n1, n2", false).unwrap();
     rig.launch(0, false).unwrap();
     assert!(rig.ready(0), "the other two are a majority");
     assert!(rig.tier(0).unwrap()["voter"].is_null());
