--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -48,6 +48,9 @@
 /// Part of a worker's slots that a request worth nothing leaves free.
 const RESERVE: f64 = 0.2;
 
+/// A failed call for the list is made again within this time: what it missed counts as told soon.
+const ASK_AGAIN: f64 = 1e9;
+
 /// Tokens of the timers: ask for the list, look at the held requests now and then, or once.
 const WATCH: u64 = 1;
 /// Dispatchers of a zone that tell each other of every send.
@@ -324,7 +327,8 @@
     fn list_failed(&mut self, out: &mut Vec<Action>) {
         // Ask again well inside the time after which we count as told, later and later while calls fail.
         self.failed_asks = (self.failed_asks + 1).min(4);
-        let most = self.set.rules.ask_within as f64 * 0.4 / f64::from(16 >> self.failed_asks);
+        let most =
+            (self.set.rules.ask_within as f64 * 0.4 / f64::from(16 >> self.failed_asks)).min(ASK_AGAIN);
         let after = most * (0.5 + 0.5 * self.rng.0.f64());
         out.push(Action::Timer { after: after as Nanos, token: WATCH });
     }
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the target group, as the platform's list tells of it.
 
 use super::clock::from_unix_ms;
-use super::http::{Kind, Wire};
+use super::http::{Kind, Message, Wire};
 use super::{Scheduler, route};
 use loomlb_accord::lists::{LEAVING, Leaving, Mine};
 use loomlb_control::orders::{Effect, Orders};
@@ -15,11 +15,18 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
-/// How long a watch may wait for news.
-const HOLD: Duration = Duration::from_secs(5);
+/// How long a watch may wait for news. What a silent one misses counts as told 6 s after discovery had it, so there is
+/// time to notice, and for a call in vain before the one that is answered.
+const HOLD: Duration = Duration::from_secs(2);
 /// How much longer an answer may take before its connection counts as dead.
 const PATIENCE: Duration = Duration::from_millis(1000);
+/// Where lists are pushed, what the agent has counts as told, and it answers at once: a first call that is not answered
+/// in this time is not waited for alone, and another one goes out beside it,
+const BESIDE: Duration = Duration::from_millis(250);
+/// so that there are no more than this many.
+const CALLS: usize = 4;
 /// Pause before another try after a failed one.
 const RETRY: Duration = Duration::from_millis(100);
 /// A drain is told to other schedulers for so long, in nanoseconds.
@@ -46,6 +53,18 @@
     said: Rc<Host>,
 }
 
+impl Target {
+    /// Nobody has told that it drains or is gone.
+    pub fn takes_new(&self) -> bool {
+        self.leaving.is_none() && self.hearsay.is_none()
+    }
+
+    /// Whether another look at a target found the same process at the same address.
+    pub fn same_life(&self, other: &Target) -> bool {
+        self.dial == other.dial && self.word.started == other.word.started
+    }
+}
+
 /// The targets that discovery has named.
 #[derive(Debug, Default)]
 pub struct Group {
@@ -355,54 +374,100 @@
 /// One connection to discovery: a call at once, then one watch after the other, until it is closed in good
 /// order or something fails.
 async fn session(s: &Rc<Scheduler>) -> Result<(), &'static str> {
-    let address = s.group.address.get().unwrap_or(s.config.discovery);
-    let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(address));
-    let Ok(Ok(stream)) = dial.await else { return Err("no connection") };
-    let mut wire = Wire::new(stream);
+    let (mut wire, mut answer) = first(s).await?;
     loop {
-        let seq = s.group.seq.get();
-        let query = match seq {
-            Some(seq) => format!("?from={seq}&hold_ms={}", HOLD.as_millis()),
-            None => String::new(),
-        };
-        let call = format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        if wire.write(call.as_bytes()).await.is_err() {
-            return Err("the connection broke");
-        }
-        let patience = if seq.is_some() { HOLD + PATIENCE } else { PATIENCE };
-        let answer = match tokio::time::timeout(patience, wire.read(Kind::Response)).await {
-            Ok(Ok(answer)) if answer.status == 200 => answer,
-            Ok(Ok(_)) => return Err("an answer other than 200"),
-            Ok(Err(_)) => return Err("the connection broke"),
-            Err(_) => return Err("no answer"),
-        };
-        let Ok(list) = serde_json::from_slice::<List>(&answer.body) else { return Err("a malformed list") };
-        let kind = if list.whole { ListKind::Complete } else { ListKind::Partial };
-        s.group.seq.set(Some(list.seq));
-        s.book.borrow_mut().counters.lists += 1;
-        tracing::debug!(seq = list.seq, whole = list.whole, entries = list.hosts.len(), "list");
-        if kind == ListKind::Complete || !list.hosts.is_empty() {
-            take(s, list, kind);
-        }
+        take_in(s, &answer)?;
         if !answer.keep_alive {
             return Ok(());
         }
+        let (call, patience) = question(s, HOLD);
+        answer = ask(&mut wire, &call, patience).await?;
+    }
+}
+
+/// A connection to discovery and the first answer on it, which waits for no news: after a call that failed nobody knows
+/// whether there are any. Where lists are pushed a call costs nothing, and another goes out beside one that hangs; where
+/// they are asked for there is one.
+async fn first(s: &Rc<Scheduler>) -> Result<(Wire, Message), &'static str> {
+    let most = if s.epoch().settings.ask_for_list { 1 } else { CALLS };
+    let (mut calls, mut again) = (JoinSet::new(), tokio::time::interval(BESIDE));
+    loop {
+        tokio::select! {
+            _ = again.tick(), if calls.len() < most => {
+                calls.spawn_local(first_call(Rc::clone(s)));
+            }
+            Some(called) = calls.join_next() => match called {
+                Ok(Err(_)) if !calls.is_empty() => {}
+                Ok(said) => return said,
+                Err(_) => return Err("the call ended"),
+            },
+        }
+    }
+}
+
+/// A connection of its own, and the answer to one call on it.
+async fn first_call(s: Rc<Scheduler>) -> Result<(Wire, Message), &'static str> {
+    let address = s.group.address.get().unwrap_or(s.config.discovery);
+    let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(address));
+    let Ok(Ok(stream)) = dial.await else { return Err("no connection") };
+    let mut wire = Wire::new(stream);
+    let (call, patience) = question(&s, Duration::ZERO);
+    ask(&mut wire, &call, patience).await.map(|answer| (wire, answer))
+}
+
+/// A call for what has changed since the version we have, which may wait this long for news, and how long its answer may
+/// take.
+fn question(s: &Scheduler, hold: Duration) -> (String, Duration) {
+    let address = s.group.address.get().unwrap_or(s.config.discovery);
+    let seq = s.group.seq.get();
+    let query = seq.map_or(String::new(), |seq| format!("?from={seq}&hold_ms={}", hold.as_millis()));
+    let patience = if seq.is_some() { hold + PATIENCE } else { PATIENCE };
+    (format!("GET /v1/servers{query} HTTP/1.1\r\nHost: {address}\r\n\r\n"), patience)
+}
+
+async fn ask(wire: &mut Wire, call: &str, patience: Duration) -> Result<Message, &'static str> {
+    if wire.write(call.as_bytes()).await.is_err() {
+        return Err("the connection broke");
+    }
+    match tokio::time::timeout(patience, wire.read(Kind::Response)).await {
+        Ok(Ok(answer)) if answer.status == 200 => Ok(answer),
+        Ok(Ok(_)) => Err("an answer other than 200"),
+        Ok(Err(_)) => Err("the connection broke"),
+        Err(_) => Err("no answer"),
+    }
+}
+
+/// Takes in an answer of discovery.
+fn take_in(s: &Rc<Scheduler>, answer: &Message) -> Result<(), &'static str> {
+    let Ok(list) = serde_json::from_slice::<List>(&answer.body) else { return Err("a malformed list") };
+    let kind = if list.whole { ListKind::Complete } else { ListKind::Partial };
+    s.group.seq.set(Some(list.seq));
+    s.book.borrow_mut().counters.lists += 1;
+    tracing::debug!(seq = list.seq, whole = list.whole, entries = list.hosts.len(), "list");
+    if kind == ListKind::Complete || !list.hosts.is_empty() {
+        take(s, list, kind);
     }
+    Ok(())
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    /// What a silent watch misses counts as told 6 s after it fell silent, or 2 s after its wait is over if that is later: by
-    /// then it is given up, and discovery asked anew, with time for an answer.
+    /// What discovery had, and was reachable with, counts as told 6 s later, whatever became of the calls before: a watch
+    /// that has just begun when it falls silent, and one call in vain after it, leave time for the call that is answered.
+    /// After SIGHUP what is there counts 4 s later.
     #[test]
-    fn a_silent_watch_is_asked_anew_before_what_it_missed_counts_as_told() {
-        let second = Duration::from_secs(1);
-        let told = (6 * second).max(HOLD + 2 * second);
-        assert!(HOLD + PATIENCE + RETRY + second / 2 <= told);
+    fn a_silent_watch_and_a_call_in_vain_leave_time_before_what_they_missed_counts_as_told() {
+        let told = Duration::from_secs(6);
+        let asked_at_most_every = Duration::from_secs(1);
+        let pushed = HOLD + PATIENCE + RETRY + PATIENCE + RETRY;
+        // The first of the module's pauses is half as long.
+        let asked =
+            HOLD + PATIENCE + RETRY + asked_at_most_every / 2 + PATIENCE + RETRY + asked_at_most_every;
+        assert!(pushed.max(asked) <= told);
         assert!(
-            PATIENCE + RETRY + PATIENCE + RETRY <= 4 * second,
+            PATIENCE + RETRY + PATIENCE + RETRY <= Duration::from_secs(4),
             "after SIGHUP, one call in vain, what is there counts"
         );
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -97,8 +97,8 @@
     said.push(news.hear());
     let said: Vec<&str> = said.iter().filter_map(|s| s.lines().next()).collect();
     assert_snapshot!(said.join("\n"), @r"
-    GET /v1/servers?from=1&hold_ms=5000 HTTP/1.1
-    GET /v1/servers?from=7&hold_ms=5000 HTTP/1.1
+    GET /v1/servers?from=1&hold_ms=0 HTTP/1.1
+    GET /v1/servers?from=7&hold_ms=2000 HTTP/1.1
     ");
     let mut client = stage.connect();
     client.say(&job("view", "a1", "3.000"));
@@ -304,7 +304,7 @@
     assert_snapshot!(said.join("\n"), @r"
     GET /v1/servers HTTP/1.1
     POST /view/7f HTTP/1.1
-    GET /v1/servers?from=3&hold_ms=5000 HTTP/1.1
+    GET /v1/servers?from=3&hold_ms=2000 HTTP/1.1
     X-Correlation-Id: a2
     ");
     assert_snapshot!(stage.counters(&["reloads", "reload_faults"]), @"reloads=1 reload_faults=1");
