--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -757,7 +757,7 @@
         let capacity = self.slots(known).unwrap_or(1.0).max(1.0);
         let before = self.warmth(&known.entry, known.cold_at);
         let budget = cold::Budget::new(&self.set.rules, capacity, before, warmth);
-        let charge = budget.charge(self.learned[class].run * slots.max(1.0));
+        let charge = budget.charge(self.learned[class].run * slots.max(1.0)) * self.learned[class].caution();
         let Some(sharers) = cold::sharers(&self.set, known.entry.id, GROUP) else {
             return Some((charge, f64::NEG_INFINITY));
         };
@@ -832,8 +832,7 @@
                 known.heard = self.now;
                 let waited = started.map_or(0, |s| s.saturating_sub(sent));
                 let run = ended.latency.saturating_sub(waited).max(1) as f64;
-                let part = if std::mem::replace(&mut learned.seen, true) { 0.03 } else { 1.0 };
-                learned.run += (run - learned.run) * part;
+                learned.ran(run);
                 toward(&mut self.mean_run, run, 0.02);
                 known.failures.set(self.now, known.failures.get(self.now, FORGET) * FORGIVE);
                 self.nets[class].learn(w, ended.latency as f64);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -9,6 +9,13 @@
 /// Seconds over which a tenant's use is averaged and may run ahead of its share.
 const SHARE_SPAN: f64 = 5.0;
 
+/// Part of the time that a class's clients wait which its jobs are taken to run on average, before the first has ended,
+const UNSEEN: f64 = 0.0625;
+/// and how many jobs this weighs as much as where too low a guess does harm, the less the more have been seen.
+const DOUBT: f64 = 2.0;
+/// What a further job adds to the mean of its class, at least.
+const FURTHER: f64 = 0.03;
+
 /// What is known of a worker.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
@@ -225,6 +232,12 @@
     /// Mean time of running, without waiting.
     pub(crate) run: f64,
     pub(crate) seen: bool,
+    /// Jobs that it is the mean of; 0 once it is handed over by a process that did not count.
+    #[serde(default)]
+    pub(crate) count: u32,
+    /// What it may be, before any was seen.
+    #[serde(default)]
+    pub(crate) most: f64,
     /// The longest wait that a client granted: a shorter one is a later try.
     pub(crate) longest: Nanos,
 }
@@ -232,7 +245,22 @@
 impl Learned {
     /// Nothing yet, but for what the class's aim lets expect.
     pub(crate) fn new(class: &Class) -> Learned {
-        Learned { run: (class.aim as f64).max(1e6), seen: false, longest: 0 }
+        let run = (class.aim as f64).max(1e6);
+        Learned { run, seen: false, count: 0, most: run.max(class.deadline as f64 * UNSEEN), longest: 0 }
+    }
+    /// Takes in how long a job has run: a plain mean of the first ones, then one that forgets.
+    pub(crate) fn ran(&mut self, run: f64) {
+        let known = std::mem::replace(&mut self.seen, true);
+        // What another process has handed over counts as well known.
+        self.count = if known && self.count == 0 { u32::MAX } else { self.count.saturating_add(1) };
+        self.run += (run - self.run) * (1.0 / f64::from(self.count)).max(FURTHER);
+    }
+    /// How many times its mean a job is taken to run where too little would do harm: many dispatchers that have seen no
+    /// job, or one short one each, would together send a cold worker far more than it bears.
+    pub(crate) fn caution(&self) -> f64 {
+        let seen = f64::from(if self.seen && self.count == 0 { u32::MAX } else { self.count });
+        let doubt = DOUBT / (1.0 + seen);
+        (self.most * doubt / self.run.max(1.0) + seen) / (doubt + seen)
     }
 }
 
