--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -5,7 +5,7 @@
 use super::wheel::Due;
 use super::{Scheduler, route};
 use loomlb_decide::boot::key;
-use loomlb_decide::{ClassId, Event, Nanos, Request, RequestId, TenantId};
+use loomlb_decide::{ClassId, Effect, Event, Nanos, Request, RequestId, TenantId};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
@@ -112,6 +112,7 @@
         slots,
         class,
         most,
+        window: matches!(settings.effect, Effect::Keyed(_)).then_some(settings.window),
         ran: 0.0,
     });
     drop(book);
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -61,6 +61,10 @@
     pub opened: Nanos,
     /// How far it has come.
     pub stage: Stage,
+    /// When its first byte left, if it has.
+    pub written: Option<Nanos>,
+    /// It has ended, and is known never to have run.
+    pub never_ran: bool,
     /// When its target told that the job started.
     pub started: Option<Nanos>,
     /// The task that writes it and reads the 202.
@@ -86,6 +90,8 @@
     pub class: usize,
     /// Forwards that it may have.
     pub most: u32,
+    /// For how long after the first one its key has a repeat dropped, where its class has keys.
+    pub window: Option<Nanos>,
     /// Slots that it takes at a target.
     pub slots: f64,
     /// Seconds that its jobs ran, as far as they have ended.
@@ -107,6 +113,8 @@
     pub failed: u64,
     /// Flows whose client left before its answer.
     pub gone: u64,
+    /// Requests whose client had left before they could be taken.
+    pub gone_early: u64,
     /// Flows that the guard answered at their deadline.
     pub overdue: u64,
     /// Offers for which there was no room.
@@ -205,7 +213,8 @@
             write!(f, " bad_{status}={count}")?;
         }
         write!(f, " silent={} accept_faults={}; answered: served={}", c.silent, c.accept_faults, c.served)?;
-        write!(f, " refused={} failed={} gone={} overdue={}", c.refused, c.failed, c.gone, c.overdue)?;
+        write!(f, " refused={} failed={} gone={} gone_early={}", c.refused, c.failed, c.gone, c.gone_early)?;
+        write!(f, " overdue={}", c.overdue)?;
         write!(f, "; sent: forwards={}", c.forwards)?;
         for (outcome, count) in OUTCOMES.iter().zip(c.outcomes) {
             write!(f, " {outcome:?}={count}")?;
--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 framing on bytes: the edge where messages become plain data and back.
 
 use bytes::{Buf, Bytes, BytesMut};
+use std::future::Future;
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
 /// A head is no longer than this.
@@ -12,6 +14,10 @@
 /// Nor a body than this.
 pub const MAX_BODY: usize = 64 * 1024;
 const MAX_HEADERS: usize = 64;
+/// Bytes that are kept of what a client sends while its last request is not answered.
+const AHEAD: usize = 8 * 1024;
+/// Time between two looks at a client that has sent more than that. One that has gone is to be noticed within 0.1 s.
+const LOOK: Duration = Duration::from_millis(15);
 /// A connection that ends is read for this long at most, and no longer than this after its last byte.
 const LINGER: Duration = Duration::from_secs(3);
 const QUIET: Duration = Duration::from_millis(500);
@@ -174,6 +180,18 @@
 pub struct Wire {
     stream: TcpStream,
     buf: BytesMut,
+    overrun: bool,
+}
+
+/// What came of throwing away what has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Discarded {
+    /// Something was there.
+    Some,
+    /// Nothing was.
+    Nothing,
+    /// The other side has closed.
+    Closed,
 }
 
 impl Wire {
@@ -181,7 +199,7 @@
     pub fn new(stream: TcpStream) -> Self {
         // Without this a small message could wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
-        Wire { stream, buf: BytesMut::new() }
+        Wire { stream, buf: BytesMut::new(), overrun: false }
     }
 
     /// A second descriptor of the connection, which stays open when this one is dropped.
@@ -213,14 +231,62 @@
         if self.fill().await? == 0 { Err(Fault::Broken) } else { Ok(()) }
     }
 
+    /// Whether the other side has closed or reset, as far as the kernel has told by now, without reading: what it sent
+    /// before may still wait.
+    fn is_closed(&self) -> bool {
+        let mut look = std::pin::pin!(self.stream.ready(Interest::READABLE));
+        match look.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed() || ready.is_error(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
+    /// Whether the other side has closed or reset by now. A new connection is read before the kernel's word on its end is
+    /// heard, so that is waited for: one turn of the loop.
+    pub async fn is_gone(&mut self) -> bool {
+        tokio::task::yield_now().await;
+        self.is_closed() || !self.has_input() && !self.poll_input()
+    }
+
+    /// Waits until the other side has closed or reset. Of what it says meanwhile no more than [`AHEAD`] is kept, so that
+    /// it cannot fill our memory, and the rest is thrown away, slowly: its end comes behind it. Loses nothing of what is
+    /// kept when dropped half-way.
+    pub async fn closed(&mut self) {
+        while self.buf.len() < AHEAD {
+            if !matches!(self.fill().await, Ok(n) if n > 0) {
+                return;
+            }
+        }
+        while !self.is_closed() {
+            match self.discard() {
+                Discarded::Some => self.overrun = true,
+                Discarded::Nothing => {}
+                Discarded::Closed => return,
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// A part of what the other side sent was thrown away: nothing that follows can be told from the middle of something.
+    pub fn overrun(&self) -> bool {
+        self.overrun
+    }
+
     /// Reads one message, in as many parts as it comes in.
     pub async fn read(&mut self, kind: Kind) -> Result<Message, Fault> {
-        let mut message = loop {
+        let message = self.read_head(kind).await?;
+        self.read_body(kind, message).await
+    }
+
+    /// Reads the head of a message.
+    pub async fn read_head(&mut self, kind: Kind) -> Result<Message, Fault> {
+        loop {
             if let Some(message) = take_head(&mut self.buf, kind)? {
                 if kind == Kind::Response && (100..200).contains(&message.status) {
                     continue;
                 }
-                break message;
+                return Ok(message);
             }
             let fresh = self.buf.is_empty();
             match self.fill().await {
@@ -228,7 +294,11 @@
                 Ok(0) | Err(_) => return Err(Fault::Broken),
                 Ok(_) => {}
             }
-        };
+        }
+    }
+
+    /// Reads the body that belongs to a head.
+    pub async fn read_body(&mut self, kind: Kind, mut message: Message) -> Result<Message, Fault> {
         let framing = framing(&message, kind)?;
         if kind == Kind::Request && message.says("expect", "100-continue") && self.buf.is_empty() {
             self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -305,11 +375,13 @@
         self.stream.write_all(bytes).await
     }
 
-    /// Reads what has come, for nobody; false if the other side has closed.
-    fn discard(&self) -> bool {
+    /// Reads what has come, for nobody.
+    fn discard(&self) -> Discarded {
         match self.stream.try_read(&mut [0; MAX_BODY]) {
-            Ok(n) => n > 0,
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+            Ok(0) => Discarded::Closed,
+            Ok(_) => Discarded::Some,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Discarded::Nothing,
+            Err(_) => Discarded::Closed,
         }
     }
 
@@ -323,7 +395,7 @@
         self.buf = BytesMut::new();
         let drain = async {
             while let Ok(Ok(())) = tokio::time::timeout(QUIET, self.stream.readable()).await {
-                if !self.discard() {
+                if self.discard() == Discarded::Closed {
                     break;
                 }
                 tokio::time::sleep(PACE).await;
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -60,7 +60,7 @@
 pub fn ended(s: &Rc<Scheduler>, id: RequestId, n: u32, outcome: Outcome, report: Option<Report>) {
     let mut book = s.book.borrow_mut();
     let Some(forward) = book.forward(id, n).filter(|f| f.stage != Stage::Ended) else { return };
-    forward.stage = Stage::Ended;
+    (forward.stage, forward.never_ran) = (Stage::Ended, outcome.never_ran());
     let now = s.clock.now();
     let latency = now.saturating_sub(forward.opened);
     // A job that its target never started has taken nothing; where starts are not told, all of its time counts.
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -20,6 +20,11 @@
 const RELEARN: Nanos = 60_000_000_000;
 /// Time between two looks through the idle connections.
 const SWEEP: Nanos = 250_000_000;
+/// Where targets answer twice the second answer comes some milliseconds late: connections rest for so long before they
+/// are used again, so that it is not taken for the answer to the next job.
+const REST: Nanos = 50_000_000;
+/// Ticks kept before the end of a key's window for a repeat's way, as the module keeps them.
+const WAY: Nanos = 4;
 
 /// A connection to a target, counted for as long as it lives.
 #[derive(Debug)]
@@ -51,6 +56,10 @@
     /// Idle connections live this long: well below the time after which a target closes them, since a
     /// request that crosses such an end counts as one that may have run.
     keep: Cell<Nanos>,
+    /// When a target was last seen to say more than it was asked.
+    twice: Cell<Option<Nanos>>,
+    /// Jobs that their targets are still to be told to drop.
+    undoing: Cell<usize>,
     /// The same for targets whose connections have proved to end sooner than they ought to, and when they
     /// did.
     shorter: RefCell<HashMap<WorkerId, (Nanos, Nanos)>>,
@@ -60,7 +69,8 @@
     /// An empty pool of so many connections at most, for targets that close idle ones after `keepalive`.
     pub fn new(limit: usize, keepalive: Nanos) -> Self {
         let (idle, open, shorter) = (RefCell::default(), Rc::default(), RefCell::default());
-        Pool { idle, open, limit, keep: Cell::new(keepalive / 4 * 3), shorter }
+        let (twice, undoing) = (Cell::default(), Cell::default());
+        Pool { idle, open, limit, keep: Cell::new(keepalive / 4 * 3), twice, undoing, shorter }
     }
 
     /// A connection to the target broke at its next use: something on the way had dropped it while it was
@@ -81,6 +91,25 @@
         self.keep.set(keepalive / 4 * 3);
     }
 
+    /// Jobs that their targets are still to be told to drop.
+    pub fn undoing(&self) -> usize {
+        self.undoing.get()
+    }
+
+    /// How long a connection rests after its last answer. What was learned is tried anew after a while.
+    fn rest(&self, now: Nanos) -> Nanos {
+        if self.twice.get().is_some_and(|at| now < at + RELEARN) { REST } else { 0 }
+    }
+
+    /// Whether an idle connection can be used again: its target has neither closed it nor said anything more.
+    fn is_sound(&self, link: &mut Link, now: Nanos) -> bool {
+        let open = link.wire.poll_input();
+        if link.wire.has_input() {
+            self.twice.set(Some(now));
+        }
+        open && !link.wire.has_input()
+    }
+
     /// Connections to targets, idle ones included.
     pub fn open(&self) -> usize {
         self.open.get()
@@ -105,23 +134,23 @@
         self.idle.borrow_mut().remove(&target);
     }
 
-    /// Closes what has been idle for too long.
+    /// Closes what has been idle for too long, and what is of no use any more.
     fn sweep(&self, now: Nanos) {
         self.idle.borrow_mut().retain(|target, links| {
             let keep = self.keep(*target, now);
-            links.retain(|i| now < i.since + keep);
+            links.retain_mut(|i| now < i.since + keep && self.is_sound(&mut i.link, now));
             !links.is_empty()
         });
     }
 
     /// The connection used last, if it still lives.
     fn take(&self, target: WorkerId, now: Nanos) -> Option<Link> {
-        let keep = self.keep(target, now);
+        let (keep, rest) = (self.keep(target, now), self.rest(now));
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&target)?;
-        while let Some(mut last) = links.pop() {
-            let fresh = now < last.since + keep;
-            if fresh && last.link.wire.poll_input() && !last.link.wire.has_input() {
+        while let Some(at) = links.iter().rposition(|i| now >= i.since + rest) {
+            let mut last = links.remove(at);
+            if now < last.since + keep && self.is_sound(&mut last.link, now) {
                 last.link.idle = now.saturating_sub(last.since).max(1);
                 return Some(last.link);
             }
@@ -188,6 +217,8 @@
         host: target.as_ref().map_or_else(|| "".into(), |t| Rc::clone(&t.host)),
         opened: now,
         stage: Stage::Unsent,
+        written: None,
+        never_ran: false,
         started: None,
         task: None,
         undoing: None,
@@ -212,6 +243,55 @@
     }
 }
 
+/// What decides just before the first byte of a forward whether it may still leave.
+#[derive(Clone, Copy, Debug)]
+pub struct LastLook {
+    /// The client waits, and its flow is not answered.
+    pub owed: bool,
+    /// When the forward's own time is over.
+    pub until: Nanos,
+    /// When the repeats of its key cease to be dropped, if one that may have run was sent before.
+    pub repeat_by: Option<Nanos>,
+    /// The target takes new jobs, as far as has been told.
+    pub takes: bool,
+    /// It is the process that was chosen: one that has started since is cold, and nothing is charged for it.
+    pub same: bool,
+    /// This scheduler may act.
+    pub may_act: bool,
+}
+
+/// Why a forward does not leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// Nobody waits for it.
+    Gone,
+    /// Its time is over.
+    Late,
+    /// The target is draining, or out by hand.
+    Leaving,
+    /// The target has started anew.
+    Restarted,
+    /// Its key's window is over.
+    Window,
+    /// This scheduler may not act.
+    Lease,
+}
+
+impl LastLook {
+    /// Whether the forward may leave at this time.
+    pub fn verdict(&self, now: Nanos) -> Result<(), Stop> {
+        let stops = [
+            (!self.owed, Stop::Gone),
+            (now >= self.until, Stop::Late),
+            (!self.takes, Stop::Leaving),
+            (!self.same, Stop::Restarted),
+            (self.repeat_by.is_some_and(|by| now >= by), Stop::Window),
+            (!self.may_act, Stop::Lease),
+        ];
+        stops.iter().find(|stop| stop.0).map_or(Ok(()), |stop| Err(stop.1))
+    }
+}
+
 /// One forward under way.
 struct One {
     s: Rc<Scheduler>,
@@ -227,18 +307,35 @@
         let Some(mut link) = connect(s, self.to, target).await else {
             return relay::ended(s, self.id, self.n, Outcome::NoConnection, None);
         };
-        if !self.may_write() {
-            s.pool.put(self.to, link, s.clock.now());
+        let (now, look) = (s.clock.now(), self.last_look(target));
+        if let Err(stop) = look.verdict(now) {
+            tracing::debug!(flow = self.id.0, target = &*target.host, attempt = self.n, stop = ?stop, "not sent");
+            if stop != Stop::Restarted {
+                s.pool.put(self.to, link, now);
+            }
             return relay::ended(s, self.id, self.n, Outcome::NotSent, None);
         }
-        let left = self.until.saturating_sub(s.clock.now());
+        if let Some(forward) = s.book.borrow_mut().forward(self.id, self.n) {
+            forward.written = Some(now);
+        }
+        let left = self.until.saturating_sub(now);
         if link.wire.write(&request(target, work, left)).await.is_err() {
             return relay::ended(s, self.id, self.n, Outcome::NoConnection, None);
         }
         self.reached(Stage::Written);
         // The time-out ends this task; the limit is for a forward that a call-back has ended before the 202.
         let limit = Duration::from_nanos(left) + CALL;
-        let answer = tokio::time::timeout(limit, link.wire.read(Kind::Response)).await;
+        let taken = Cell::new(false);
+        let read = async {
+            let head = link.wire.read_head(Kind::Response).await?;
+            if head.status == 202 {
+                // It has taken the job, whatever becomes of the rest of its answer: a give-up has to be told.
+                taken.set(true);
+                self.reached(Stage::Taken);
+            }
+            link.wire.read_body(Kind::Response, head).await
+        };
+        let answer = tokio::time::timeout(limit, read).await;
         let (outcome, report) = match answer {
             Ok(Ok(answer)) => {
                 let read = read_answer(s, &answer);
@@ -248,6 +345,8 @@
                     None => return self.reached(Stage::Taken),
                 }
             }
+            // What becomes of a job that was taken is told by call-backs, however its answer ended.
+            Ok(Err(_)) | Err(_) if taken.get() => return,
             // The last byte is written, so it may have run.
             Ok(Err(fault)) => {
                 if link.idle > 0 && matches!(fault, Fault::Closed) {
@@ -260,16 +359,25 @@
         relay::ended(s, self.id, self.n, outcome, report);
     }
 
-    /// Looks again just before the first byte: a dial takes time, and meanwhile the flow may have ended, or
-    /// the target been told to drain so long ago that nothing new may go there.
-    fn may_write(&self) -> bool {
+    /// What is known just before the first byte: a dial takes time, and meanwhile much may have changed.
+    fn last_look(&self, meant: &Target) -> LastLook {
         let s = &self.s;
-        let open = s.book.borrow_mut().flow(self.id).is_some_and(|f| f.reply.is_some());
-        let grace = s.epoch().terms.drain_grace / 2;
-        let in_time = |t: &Target| t.leaving.is_none_or(|at| s.clock.now() < at + grace);
-        // The lease is looked at last: this is the act that it is for.
-        open && s.group.target(self.to).is_some_and(|t| in_time(&t) && !s.orders.borrow().is_out(&t.host))
-            && s.tier.acts()
+        let mut book = s.book.borrow_mut();
+        let flow = book.flow(self.id);
+        let way = WAY * s.epoch().settings.tick;
+        let first =
+            flow.as_ref().and_then(|f| f.forwards.iter().filter(|x| !x.never_ran).find_map(|x| x.written));
+        let window = flow.as_ref().and_then(|f| f.window);
+        let target = s.group.target(self.to);
+        LastLook {
+            owed: flow.is_some_and(|f| f.reply.is_some()),
+            until: self.until,
+            repeat_by: first.zip(window).map(|(first, window)| (first + window).saturating_sub(way)),
+            takes: target.as_ref().is_some_and(|t| t.takes_new() && !s.orders.borrow().is_out(&t.host)),
+            same: target.is_some_and(|t| t.same_life(meant)),
+            // The lease is looked at last: this is the act that it is for.
+            may_act: s.tier.acts(),
+        }
     }
 
     fn reached(&self, stage: Stage) {
@@ -286,6 +394,9 @@
 }
 
 fn put_back(s: &Scheduler, to: WorkerId, link: Link, answer: &Message) {
+    if link.wire.has_input() {
+        s.pool.twice.set(Some(s.clock.now()));
+    }
     let staying = |t: Target| t.leaving.is_none() && !s.orders.borrow().is_out(&t.host);
     let staying = s.group.target(to).is_some_and(staying);
     if answer.keep_alive && !link.wire.has_input() && staying {
@@ -356,7 +467,7 @@
 fn give_up(s: &Rc<Scheduler>, id: RequestId, n: u32, why: Outcome) {
     let mut book = s.book.borrow_mut();
     let Some(forward) = book.forward(id, n).filter(|f| f.stage != Stage::Ended) else { return };
-    let (to, stage) = (forward.target, forward.stage);
+    let (to, stage, task) = (forward.target, forward.stage, forward.task.take());
     let outcome = match (stage, why) {
         (Stage::Unsent, Outcome::Timeout) => Outcome::NoConnection,
         (Stage::Unsent, _) => Outcome::NotSent,
@@ -368,12 +479,19 @@
         book.counters.undone += 1;
         let correlation = book.flow(id).map(|f| f.work.correlation.clone()).unwrap_or_default();
         let s = Rc::clone(s);
+        s.pool.undoing.set(s.pool.undoing.get() + 1);
         tokio::task::spawn_local(async move {
             let path = format!("/jobs/{}", String::from_utf8_lossy(&correlation));
-            let _ = call(&s, to, "DELETE", &path).await;
+            let link = begin_call(&s, to, "DELETE", &path).await;
+            s.pool.undoing.set(s.pool.undoing.get() - 1);
+            if let Ok(link) = link {
+                let _ = end_call(&s, to, link).await;
+            }
             undone.notify_one();
         });
-    } else if let Some(task) = forward.task.take() {
+    }
+    // Before the 202 the close says it; after that its connection may still be held by an answer that has no end.
+    if let Some(task) = task {
         task.abort();
     }
     drop(book);
@@ -382,14 +500,24 @@
 
 /// A small call without a body, and its answer.
 async fn call(s: &Scheduler, to: WorkerId, method: &str, path: &str) -> Result<Message, Fault> {
+    let link = begin_call(s, to, method, path).await?;
+    end_call(s, to, link).await
+}
+
+/// Writes a small call.
+async fn begin_call(s: &Scheduler, to: WorkerId, method: &str, path: &str) -> Result<Link, Fault> {
     let target = s.group.target(to).ok_or(Fault::Broken)?;
     let mut link = connect(s, to, &target).await.ok_or(Fault::Broken)?;
     let text = format!("{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n", target.dial);
-    let exchange = async {
-        link.wire.write(text.as_bytes()).await?;
-        link.wire.read(Kind::Response).await
-    };
-    let answer = tokio::time::timeout(CALL, exchange).await.map_err(|_| Fault::Broken)??;
+    let written = tokio::time::timeout(CALL, link.wire.write(text.as_bytes())).await;
+    written.map_err(|_| Fault::Broken)??;
+    Ok(link)
+}
+
+/// Reads the answer to a small call.
+async fn end_call(s: &Scheduler, to: WorkerId, mut link: Link) -> Result<Message, Fault> {
+    let answer = tokio::time::timeout(CALL, link.wire.read(Kind::Response)).await;
+    let answer = answer.map_err(|_| Fault::Broken)??;
     put_back(s, to, link, &answer);
     Ok(answer)
 }
