--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -41,8 +41,10 @@
     Silent(Nanos),
     /// It has said a part of a request since then.
     Partial(Nanos),
-    /// It is between requests, or ending, since then.
+    /// It is between requests since then.
     Idle(Nanos),
+    /// We have said that it ends, and read what still comes, for nobody.
+    Ending,
     /// It waits for its answer.
     Served,
 }
@@ -84,7 +86,17 @@
         self.seats.borrow().values().filter(|s| matches!(s.state, State::Partial(_) | State::Served)).count()
     }
 
-    /// Asks one connection to close: the one that has owed a request for longest, or has been idle for
+    /// Connections whose end is said, and not seen by the other side yet.
+    pub fn ending(&self) -> usize {
+        self.seats.borrow().values().filter(|s| matches!(s.state, State::Ending)).count()
+    }
+
+    /// Whether another connection would have to wait for room.
+    fn full(&self, elsewhere: usize) -> bool {
+        self.taken() + elsewhere >= self.limit
+    }
+
+    /// Asks one connection to close: one that ends anyway; then the one that has owed a request for longest, or has been idle for
     /// longest and never brought work; then an idle one that has, as its client may be about to use it again;
     /// only then one that has just come. Call-backs need a seat too, and would else wait behind connections
     /// that say nothing, half of something, or nothing more.
@@ -116,6 +128,7 @@
                 Some((if now >= since + PROBATION { 0 } else { JUST_COME }, since))
             }
             State::Idle(since) => Some((u8::from(self.useful), since)),
+            State::Ending => Some((0, 0)),
             State::Served => None,
         }
     }
@@ -175,7 +188,7 @@
             s.upgrade.turned.notified().await;
             continue;
         }
-        if s.listener.taken() + s.upgrade.elsewhere().inbound >= s.listener.limit {
+        if s.listener.full(s.upgrade.elsewhere().inbound) {
             s.listener.evict(s.clock.now(), JUST_COME + 1);
             let _ = tokio::time::timeout(ACCEPT_PAUSE, s.listener.left.notified()).await;
             continue;
@@ -244,6 +257,14 @@
                     s.book.borrow_mut().counters.silent += u64::from(first);
                     return;
                 }
+                Next::Close => {
+                    s.book.borrow_mut().counters.silent += u64::from(first);
+                    // Bytes that cross a close reset the connection; where others wait for room it comes first.
+                    if !s.listener.full(s.upgrade.elsewhere().inbound) {
+                        part(&seat, wire).await;
+                    }
+                    return;
+                }
                 Next::PassOn => {
                     let (heir, descriptor) = (s.upgrade.heir(), wire.descriptor());
                     drop(wire);
@@ -279,31 +300,37 @@
         s.book.borrow_mut().counters.bad(reply.status);
         // Call-backs go on: what was taken cannot finish without them.
         let keep_alive = keep_alive && (calls_back || !s.shutdown.service().parting(s.clock.now()));
+        let keep_alive = keep_alive && !wire.overrun();
         let wait = format!("{:.3}", reply.retry_after as f64 / 1e9);
         let headers: &[(&str, &str)] = if reply.retry_after > 0 { &[("Retry-After", &wait)] } else { &[] };
         let text = response(reply.status, headers, &reply.body, keep_alive);
         match tokio::time::timeout(TAKEN, wire.write(&text)).await {
             Ok(Ok(())) if keep_alive => {}
-            Ok(Ok(())) => {
-                // The seat stays taken: a connection that ends holds a descriptor like any other, and one
-                // that its client does not close would else go uncounted.
-                seat.is(State::Idle(s.clock.now()));
-                return tokio::select! {
-                    () = wire.linger() => {}
-                    () = seat.close.notified() => {}
-                };
-            }
+            Ok(Ok(())) => return part(&seat, wire).await,
             _ => return,
         }
     }
 }
 
+/// Ends a connection so that nothing which crosses the end resets it: what still comes is read, for nobody, and never
+/// sent on. The seat stays taken meanwhile: a connection that ends holds a descriptor like any other, and one that its
+/// client does not close would else go uncounted.
+async fn part(seat: &Seat, wire: Wire) {
+    seat.is(State::Ending);
+    tokio::select! {
+        () = wire.linger() => {}
+        () = seat.close.notified() => {}
+    }
+}
+
 /// What comes next on a connection that is idle.
 enum Next {
     /// A request has begun.
     Request,
-    /// Nothing; it is over.
+    /// Nothing; the other side has closed.
     Over,
+    /// Nothing; we close.
+    Close,
     /// Another process goes on with it.
     PassOn,
 }
@@ -336,7 +363,11 @@
         () = parted, if !calls_back => true,
         () = tokio::time::sleep_until(until) => true,
     };
-    if !ours || wire.poll_input() && wire.has_input() { Next::Request } else { Next::Over }
+    match (ours, wire.poll_input()) {
+        _ if wire.has_input() => Next::Request,
+        (true, true) => Next::Close,
+        _ => Next::Over,
+    }
 }
 
 /// The reply to a request; none if its client has gone.
@@ -373,6 +404,11 @@
         Ok(offer) => offer,
         Err(reply) => return Some(reply),
     };
+    // A request may have waited for long before it was read: in the kernel, or behind others of its connection.
+    if wire.is_gone().await {
+        s.book.borrow_mut().counters.gone_early += 1;
+        return None;
+    }
     let mut taken = match admit(s, offer) {
         Ok(taken) => taken,
         Err(Rejection::Bad(why)) => return Some(Reply::plain(400, why)),
@@ -381,13 +417,12 @@
         }
     };
     seat.useful();
-    let answer = loop {
-        tokio::select! {
-            answer = &mut taken.answer => break answer.unwrap_or(Answer::Failed),
-            going = hang_up(wire) => if going {
-                relay::gone(s, taken.id);
-                return None;
-            }
+    let answer = tokio::select! {
+        biased;
+        answer = &mut taken.answer => answer.unwrap_or(Answer::Failed),
+        () = wire.closed() => {
+            relay::gone(s, taken.id);
+            return None;
         }
     };
     Some(match answer {
@@ -397,15 +432,6 @@
     })
 }
 
-/// Waits for the client to say something before its answer: its next request (false), or that it has gone.
-/// Once its next request has begun to come nothing more is read, so that it cannot fill our memory.
-async fn hang_up(wire: &mut Wire) -> bool {
-    if wire.has_input() {
-        std::future::pending::<()>().await;
-    }
-    !matches!(wire.fill().await, Ok(n) if n > 0)
-}
-
 /// Reads a job out of a request.
 fn offer(s: &Scheduler, message: &Message, path: &str) -> Result<Offer, Reply> {
     let epoch = s.epoch();
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -103,17 +103,24 @@
     s.shutdown.turn(|service| service.end(now));
     tracing::info!("asked to end, {} flows to finish", s.book.borrow().owed());
     loop {
-        let over = || s.book.borrow().owed() == 0 && s.listener.engaged() == 0;
+        let over = || s.book.borrow().owed() == 0 && s.listener.engaged() == 0 && s.pool.undoing() == 0;
+        // A process that ends resets connections on which something still comes, and what it wrote last with them.
+        let parted = || s.listener.ending() == 0 || service_over(s);
         if upgrade::is_finished(s) {
             return upgrade::finished(s).await;
         }
         if s.shutdown.service().refusing(s.clock.now()) && over() {
             // One more turn: whatever the kernel holds for us by now gets read and answered.
             tokio::time::sleep(Duration::from_millis(20)).await;
-            if over() {
+            if over() && parted() {
                 return;
             }
         }
         tokio::time::sleep(CLOSE_EVERY).await;
     }
 }
+
+/// Whether the time is over by which all must be answered.
+fn service_over(s: &Scheduler) -> bool {
+    s.shutdown.service().answer_by().is_some_and(|by| s.clock.now() >= by)
+}
