--- /dev/null
+++ b/tests/endings.rs
@@ -0,0 +1,459 @@
+//! Stories of ends: clients that go, connections that close, watches that die, time-outs and exits, each at the instant in
+//! which something is still owed. The crossing is forced: a peer holds back or sends at a point that the program has
+//! provably reached, and nothing is slept for but time that must pass. docs/design/0008-endings.md names the terms.
+
+mod stage;
+
+use insta::assert_snapshot;
+use stage::{Agent, Line, Mode, Narrow, Server, Stage, job, list, response};
+use std::time::{Duration, Instant};
+
+/// Clients that wait for long, so that nothing here ends for its time.
+const PATIENT: (&str, &str) =
+    (r#""aim":900000000,"give_up":5000000000"#, r#""aim":20000000000,"give_up":20000000000"#);
+/// Dials may take long.
+const SLOW_DIALS: (&str, &str) = (r#""dial_timeout":1000000000"#, r#""dial_timeout":15000000000"#);
+/// Attempts are not cancelled when their client has gone: the last look before the first byte is all that holds them.
+const NO_CANCEL: (&str, &str) = (r#""cancel":true"#, r#""cancel":false"#);
+const ROOMY: (&str, &str) = (r#""sockets":64"#, r#""sockets":256"#);
+
+fn done(id: &str, from: &Server) -> String {
+    format!(r#"{{"id":"{id}","from":"{}","state":"done","result":"{id}"}}"#, from.name)
+}
+
+/// Serves the next job on a connection as its target would.
+fn serve(stage: &Stage, line: &mut Line, from: &Server, id: &str) {
+    let head = line.hear();
+    assert!(head.contains(&format!("X-Correlation-Id: {id}\r\n")), "another job than {id}: {head}");
+    line.say(&response("202 Accepted", ""));
+    stage.call_back(&done(id, from));
+}
+
+// ---- clients that go
+
+/// Whatever a client does as it goes, and with a crowd of others at once: nothing of its is sent once there is a worker.
+#[test]
+fn a_client_that_leaves_while_its_job_waits_is_noticed_whatever_it_says_as_it_goes() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::changed(&[], &discovery.server, &[PATIENT, ROOMY]);
+    let ways: [(&str, fn(Line)); 5] = [
+        ("closes", drop),
+        ("resets", Line::reset),
+        ("has begun its next request", |line| line.say_and_go("POST /view/7f HTTP/1.1\r\n")),
+        ("has sent several", |line| line.say_and_go(&job("view", "x", "9.000").repeat(80))),
+        ("floods", |line| line.say_and_go(&"x".repeat(400_000))),
+    ];
+    let waiting: Vec<_> = (0..20)
+        .map(|n| {
+            let mut line = stage.connect();
+            line.say(&job("view", &format!("a{n}"), "19.000"));
+            (line, ways[n % ways.len()])
+        })
+        .collect();
+    stage.until("flows=20 forwards=0");
+    waiting.into_iter().for_each(|(line, (_, go))| go(line));
+    stage.until("flows=20 gone=20 forwards=0");
+    // There is a worker now, and one job that is still wanted.
+    discovery.lists(&[target.entry("active")]);
+    discovery.mode(Mode::Answers);
+    let mut client = stage.connect();
+    client.say(&job("view", "b1", "19.000"));
+    serve(&stage, &mut target.accept(), &target, "b1");
+    assert!(client.answer().ends_with("b1"));
+    stage.until("flows=21 gone=20 forwards=1");
+}
+
+/// A process that stands still, as one without its core does, finds requests whose clients have gone long ago.
+#[test]
+fn a_request_whose_client_left_before_it_was_read_is_never_taken() {
+    let (discovery, target) = (Agent::new(Mode::Answers, &[]), Server::new("s-00000001"));
+    discovery.lists(&[target.entry("active")]);
+    let stage = Stage::new(&[&target], &discovery.server);
+    let mut kept = stage.connect();
+    kept.say("GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(kept.answer().ends_with("ready"));
+    stage.freeze();
+    for i in 0..3 {
+        stage.connect().say_and_go(&job("view", &format!("a{i}"), "3.000"));
+        let mut line = stage.connect();
+        line.say(&job("view", &format!("b{i}"), "3.000"));
+        line.reset();
+    }
+    kept.say_and_go(&job("view", "c", "3.000"));
+    let mut stays = stage.connect();
+    stays.say(&job("view", "d", "3.000"));
+    stage.signal("CONT");
+    serve(&stage, &mut target.accept(), &target, "d");
+    assert!(stays.answer().ends_with("d"));
+    assert_snapshot!(stage.counters(&["flows", "forwards"]), @"flows=1 forwards=1");
+}
+
+/// The first byte of a forward is what counts: its dial may have begun long before the client left.
+#[test]
+fn a_forward_whose_dial_comes_up_after_its_client_left_is_not_written() {
+    let (discovery, mut narrow) = (Agent::new(Mode::Silent, &[]), Narrow::new("s-00000001"));
+    let stage = Stage::changed(&[&narrow.server], &discovery.server, &[PATIENT, SLOW_DIALS, NO_CANCEL]);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "19.000"));
+    stage.until("forwards=1 NotSent=0 dials=1");
+    drop(client);
+    stage.until("gone=1 forwards=1 NotSent=0");
+    narrow.widen();
+    stage.until("gone=1 forwards=1 NotSent=1 dials=1");
+    // The connection that came up is kept, and the next job is the first that is ever said on it.
+    let mut client = stage.connect();
+    client.say(&job("view", "b1", "19.000"));
+    serve(&stage, &mut narrow.server.accept(), &narrow.server, "b1");
+    assert!(client.answer().ends_with("b1"));
+}
+
+// ---- what changes while a dial is on its way
+
+/// A job is on its way to one worker, whose connection hangs; then this news of that worker comes, and only then the
+/// connection. The job has to go to the other one.
+fn news_overtakes_a_dial(news: fn(&Server) -> String) {
+    let (mut narrow, two) = (Narrow::new("s-00000001"), Server::new("s-00000002"));
+    let discovery = Agent::new(Mode::Answers, &[narrow.server.entry("active")]);
+    // A grace of a minute: not even the grace is ours to use up.
+    let grace = (r#""drain_grace":1000000000"#, r#""drain_grace":60000000000"#);
+    let stage = Stage::changed(&[&narrow.server], &discovery.server, &[PATIENT, SLOW_DIALS, grace]);
+    stage.until("lists=1");
+    let mut client = stage.connect();
+    client.say(&job("lodge", "a1", "19.000"));
+    stage.until("forwards=1 dials=1");
+    discovery.lists(&[news(&narrow.server), two.entry("active")]);
+    stage.until("lists=2");
+    narrow.widen();
+    serve(&stage, &mut two.accept(), &two, "a1");
+    assert!(client.answer().ends_with("a1"));
+    assert_eq!(stage.counters(&["forwards", "NotSent", "served"]), "served=1 forwards=2 NotSent=1");
+}
+
+#[test]
+fn a_worker_that_drains_while_it_is_dialled_gets_nothing_new() {
+    news_overtakes_a_dial(|server| server.entry("leaving"));
+}
+
+/// It is cold, and the job was charged to the process before it.
+#[test]
+fn a_worker_that_starts_anew_while_it_is_dialled_gets_nothing_that_was_meant_for_the_one_before() {
+    news_overtakes_a_dial(|server| server.entry("active").replace(r#""born_ms":0"#, r#""born_ms":1000"#));
+}
+
+/// Repeats are dropped for two seconds after the first attempt. The second attempt was chosen within it, and its connection
+/// comes up after it.
+#[test]
+fn a_repeat_whose_dial_comes_up_after_its_keys_window_is_not_written() {
+    let (one, mut narrow) = (Server::new("s-00000001"), Narrow::new("s-00000002"));
+    let discovery = Agent::new(Mode::Answers, &[one.entry("active")]);
+    let keyed = r#""effect":"deduplicated","group":"cell","repeat_window":2000000000"#;
+    let keyed = (r#""effect":"idempotent""#, keyed);
+    let stage = Stage::changed(&[&one], &discovery.server, &[PATIENT, SLOW_DIALS, keyed]);
+    stage.until("lists=1");
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "19.000").replace("X-Service", "Idempotency-Key: k\r\nX-Service"));
+    let mut first = one.accept();
+    assert!(first.hear().contains("Idempotency-Key: k\r\n"));
+    discovery.lists(&[one.entry("leaving"), narrow.server.entry("active")]);
+    stage.until("forwards=1 lists=2");
+    drop(first);
+    stage.until("forwards=2 Reset=1 dials=2");
+    std::thread::sleep(Duration::from_millis(2100));
+    narrow.widen();
+    assert_snapshot!(client.answer(), @"HTTP/1.1 502 Bad Gateway | failed");
+    assert_snapshot!(stage.counters(&["forwards", "NotSent"]), @"forwards=2 NotSent=1");
+}
+
+// ---- watches and calls that die
+
+/// What discovery had counts as told six seconds later, whatever became of the calls: a watch falls silent at every process
+/// of a fleet, and so does the call after it.
+#[test]
+fn watches_that_fall_silent_at_all_processes_are_opened_anew_in_time_also_after_a_call_in_vain() {
+    const FLEET: usize = 5;
+    let (one, two) = (Server::new("s-00000001"), Server::new("s-00000002"));
+    for mode in ["automatic", "subscribe"] {
+        let asks = (r#""registry_mode":"automatic""#, &*format!(r#""registry_mode":"{mode}""#));
+        let bound = (r#""obligations":{"#, r#""obligations":{"must_ask_in":10000000000,"#);
+        let discovery = Agent::new(Mode::Answers, &[one.entry("active")]);
+        let start = || Stage::changed(&[&one], &discovery.server, &[asks, bound]);
+        let stages: Vec<Stage> = (0..FLEET).map(|_| start()).collect();
+        discovery.called("from=2&hold_ms=", FLEET);
+        discovery.mode(Mode::Silent);
+        discovery.lists(&[one.entry("leaving"), two.entry("active")]);
+        let (silent, before) = (Instant::now(), discovery.calls("from=2").len());
+        discovery.called("from=2", before + FLEET);
+        discovery.mode(Mode::Answers);
+        discovery.called("from=3", FLEET);
+        assert!(silent.elapsed() < Duration::from_secs(6), "{mode}: {:?}", silent.elapsed());
+        for stage in &stages {
+            let mut client = stage.connect();
+            client.say(&job("view", "a1", "3.000"));
+            serve(stage, &mut two.accept(), &two, "a1");
+            assert!(client.answer().ends_with("a1"), "{mode}");
+        }
+    }
+}
+
+/// Where the list is asked for, calls that are turned away are made again so soon that discovery's first answer after an
+/// outage comes in time, however long the outage was.
+#[test]
+fn refused_calls_for_the_list_are_made_again_soon_however_often_they_failed() {
+    let (one, two) = (Server::new("s-00000001"), Server::new("s-00000002"));
+    let asks = (r#""registry_mode":"automatic""#, r#""registry_mode":"subscribe""#);
+    let bound = (r#""obligations":{"#, r#""obligations":{"must_ask_in":10000000000,"#);
+    let discovery = Agent::new(Mode::Refuses, &[one.entry("leaving"), two.entry("active")]);
+    let stage = Stage::changed(&[&one], &discovery.server, &[asks, bound]);
+    discovery.called("GET", 7);
+    let calls = discovery.calls("GET");
+    let longest = calls.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap();
+    assert!(longest < Duration::from_secs(2), "{longest:?}");
+    discovery.mode(Mode::Answers);
+    discovery.called("from=2", 1);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    serve(&stage, &mut two.accept(), &two, "a1");
+    assert!(client.answer().ends_with("a1"));
+}
+
+/// What the agent has counts from the first moment, and at once when an outage ends: a call that it left unanswered is not
+/// waited for alone.
+#[test]
+fn a_call_that_hangs_does_not_keep_the_next_one_back_where_lists_are_pushed() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let stage = Stage::new(&[&one], &discovery);
+    let hung = [discovery.accept(), discovery.accept()];
+    let mut news = discovery.accept();
+    assert!(news.hear().starts_with("GET /v1/servers?from=1&"));
+    news.say(&response("200 OK", &list(7, true, &[two.entry("active")])));
+    assert!(news.hear().starts_with("GET /v1/servers?from=7&"));
+    // None of them had failed: they were open beside each other.
+    assert_snapshot!(stage.counters(&["lists", "list_faults"]), @"lists=1 list_faults=0");
+    assert!(hung.into_iter().all(|mut line| line.hear().starts_with("GET") && line.closed()));
+}
+
+/// Clients that rest fill the places while discovery is down, and more of them come all the time. Health is answered, and
+/// the list comes in with discovery's return.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_neither_health_nor_the_list_out() {
+    let (one, two) = (Server::new("s-00000001"), Server::new("s-00000002"));
+    let discovery = Agent::new(Mode::Silent, &[two.entry("active")]);
+    let stage = Stage::new(&[&one], &discovery.server);
+    let begun = Instant::now();
+    let mut idle = Vec::new();
+    for i in 0..150 {
+        let mut line = stage.connect();
+        if i % 2 == 0 {
+            line.say("GET /healthz HTTP/1.1\r\n\r\n");
+            assert!(line.answer().ends_with("ready"));
+        }
+        idle.push(line);
+    }
+    assert!(begun.elapsed() < Duration::from_secs(10), "ready in time: {:?}", begun.elapsed());
+    assert!(stage.descriptors() <= 64);
+    discovery.mode(Mode::Answers);
+    stage.until("lists=1");
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "3.000"));
+    serve(&stage, &mut two.accept(), &two, "a1");
+    assert!(client.answer().ends_with("a1"));
+}
+
+// ---- connections that end
+
+/// A request crosses the close of its connection: it is read for nobody, neither sent on nor reset. Each of many clients
+/// writes as soon as it sees the end.
+#[test]
+fn bytes_that_cross_the_close_of_an_idle_connection_neither_reset_it_nor_are_sent_on() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery.server);
+    let (tell, ended) = std::sync::mpsc::channel();
+    // More than a quarter of the descriptors: the oldest make room.
+    for _ in 0..40 {
+        let mut line = stage.connect();
+        line.say("GET /healthz HTTP/1.1\r\n\r\n");
+        assert!(line.answer().ends_with("ready"));
+        let tell = tell.clone();
+        std::thread::spawn(move || {
+            line.closed();
+            // The first of two writes to a socket that is closed has it reset, and the second fails.
+            let text = job("view", "a1", "3.000");
+            let _ = tell.send(line.try_say(&text[..20]).is_ok() && line.try_say(&text[20..]).is_ok());
+        });
+    }
+    let mut seen = (0..20).map(|_| ended.recv().unwrap());
+    assert!(seen.any(|whole| whole), "every one was reset");
+    assert_snapshot!(stage.counters(&["flows", "forwards"]), @"flows=0 forwards=0");
+}
+
+/// A client that is still writing has its answer on the way: the process waits for it, within its time.
+#[test]
+fn a_process_that_ends_does_not_reset_a_connection_on_which_something_still_comes() {
+    let others = (r#""balancers":1"#, r#""balancers":2"#);
+    let mut stage = Stage::changed(&[], &Agent::new(Mode::Silent, &[]).server, &[others]);
+    stage.signal("TERM");
+    stage.logged("asked to end");
+    let asked = Instant::now();
+    let mut client = None;
+    while asked.elapsed() < Duration::from_millis(2900) {
+        if client.is_none() && asked.elapsed() > Duration::from_millis(1500) {
+            let mut line = stage.connect();
+            line.say("POST /view/7f HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n");
+            client = Some(line);
+        }
+        let said = client.as_mut().map_or(Ok(()), |line| line.try_say("x"));
+        assert!(said.is_ok(), "{said:?} after {:?}", asked.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let mut client = client.unwrap();
+    assert_snapshot!(client.answer(), @"HTTP/1.1 413 Content Too Large | body too large");
+    drop(client);
+    assert!(stage.ended());
+}
+
+/// What a worker was not told to drop would run for nobody.
+#[test]
+fn a_process_that_ends_tells_a_worker_to_drop_a_job_though_the_connection_comes_up_late() {
+    let (discovery, mut narrow) = (Agent::new(Mode::Silent, &[]), Narrow::new("s-00000001"));
+    let mut stage = Stage::changed(&[&narrow.server], &discovery.server, &[SLOW_DIALS]);
+    let mut client = stage.connect();
+    client.say(&job("lodge", "a1", "4.500"));
+    stage.until("forwards=1 dials=1");
+    narrow.widen();
+    let mut forward = narrow.server.accept();
+    forward.hear();
+    forward.say(&response("202 Accepted", "").replace("Content", "Connection: close\r\nContent"));
+    stage.until("forwards=1 dials=1");
+    // The worker's machine is full again: the call that gives the job up hangs in its dial.
+    let crowd = std::net::TcpStream::connect(narrow.server.at()).unwrap();
+    stage.signal("TERM");
+    assert_snapshot!(client.answer(), @"HTTP/1.1 502 Bad Gateway | failed");
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(stage.lives(), "it ended with a word to a worker unsaid");
+    narrow.server.accept();
+    assert_eq!(narrow.server.accept().hear().lines().next(), Some("DELETE /jobs/a1 HTTP/1.1"));
+    assert!(stage.ended());
+    drop((crowd, forward));
+}
+
+// ---- answers of workers that are cut, have no end, or come twice
+
+#[test]
+fn a_job_whose_202_has_no_end_is_given_up_by_a_word_of_its_own() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery.server);
+    let mut client = stage.connect();
+    client.say(&job("lodge", "a1", "0.500"));
+    let mut endless = target.accept();
+    endless.hear();
+    endless.say("HTTP/1.1 202 Accepted\r\nContent-Length: 60000\r\n\r\nand so on");
+    assert_snapshot!(client.answer(), @"HTTP/1.1 502 Bad Gateway | failed");
+    assert_eq!(target.accept().hear().lines().next(), Some("DELETE /jobs/a1 HTTP/1.1"));
+    assert!(endless.closed(), "it would hold memory and a descriptor");
+}
+
+#[test]
+fn a_job_whose_202_was_cut_after_its_head_is_served_by_its_call_back() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery.server);
+    for (id, cut) in [("a1", "Content-Length: 9\r\n\r\nabc"), ("a2", "Transfer-Encoding: chunked\r\n\r\nzz")]
+    {
+        let mut client = stage.connect();
+        client.say(&job("lodge", id, "3.000"));
+        let mut forward = target.accept();
+        forward.hear();
+        forward.say(&format!("HTTP/1.1 202 Accepted\r\n{cut}"));
+        drop(forward);
+        // A turn of the program's loop, so that the end has reached it before the call-back does.
+        stage.counters(&["served"]);
+        stage.call_back(&done(id, &target));
+        assert!(client.answer().ends_with(id));
+    }
+    assert_snapshot!(stage.counters(&["served", "Reset"]), @"served=2 Reset=0");
+}
+
+/// A reset of the connection long after the 202 says nothing of the job.
+#[test]
+fn a_reset_long_after_the_202_leaves_the_job_to_its_call_back() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery.server);
+    let mut client = stage.connect();
+    client.say(&job("lodge", "a1", "4.500"));
+    let mut forward = target.accept();
+    forward.hear();
+    forward.say(&response("202 Accepted", ""));
+    stage.call_back(r#"{"id":"a1","from":"s-00000001","state":"started"}"#);
+    forward.reset();
+    stage.counters(&["served"]);
+    stage.call_back(&done("a1", &target));
+    assert!(client.answer().ends_with("a1"));
+    assert_snapshot!(stage.counters(&["served", "Reset"]), @"served=1 Reset=0");
+}
+
+/// A second answer that comes while its connection rests is not taken for the answer to the next job.
+#[test]
+fn a_second_answer_on_a_resting_connection_is_never_taken_for_the_next_jobs() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery.server);
+    let mut twice = None;
+    for id in ["a1", "a2"] {
+        let mut client = stage.connect();
+        client.say(&job("lodge", id, "3.000"));
+        let mut forward = target.accept();
+        serve(&stage, &mut forward, &target, id);
+        assert!(client.answer().ends_with(id));
+        if id == "a1" {
+            forward.say("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+            // A turn of the program's loop, so that it has come before the next job does.
+            stage.counters(&["served"]);
+            twice = Some(forward);
+        }
+    }
+    assert_snapshot!(stage.counters(&["forwards", "Full", "dials", "reused"]), @"forwards=2 Full=0 dials=2 reused=0");
+    assert!(twice.unwrap().closed());
+}
+
+// ---- starts by the dozen
+
+/// Thirty processes start at once before a worker that has just started, and each has jobs for it all the time: what reaches
+/// the worker in a window is within the budget that the settings give, and what is put down to chance.
+#[test]
+fn thirty_processes_that_start_at_once_stay_within_a_cold_workers_budget() {
+    const FLEET: usize = 30;
+    let cold = Server::new("s-00000001");
+    let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+    let entry = cold.entry("active").replace(r#""born_ms":0"#, &format!(r#""born_ms":{born}"#));
+    let discovery = Agent::new(Mode::Answers, std::slice::from_ref(&entry));
+    let rule = (
+        r#""obligations":{"#,
+        r#""obligations":{"cold":600000000000,"cold_from":0.3,"overload_factor":2.5,"overload_for":4000000000,"#,
+    );
+    let fleet = (r#""balancers":1"#, r#""balancers":30"#);
+    // An aim that tells nothing of what a job takes: a second, on a worker of one slot.
+    let aim = (r#""aim":900000000,"give_up":5000000000"#, r#""aim":20000000,"give_up":16000000000"#);
+    let alone = (r#""may_tell":true"#, r#""may_tell":false"#);
+    let start = |_| Stage::changed(&[], &discovery.server, &[rule, fleet, aim, alone]);
+    let mut stages: Vec<Stage> = (0..FLEET).map(start).collect();
+    discovery.called("from=2", FLEET);
+    // Each is asked again as soon as it has answered, for two seconds: half a window of the rule.
+    std::thread::scope(|scope| {
+        for (n, stage) in stages.iter().enumerate() {
+            let mut line = stage.connect();
+            scope.spawn(move || {
+                let begun = Instant::now();
+                for i in 0.. {
+                    if begun.elapsed() > Duration::from_secs(2) {
+                        break;
+                    }
+                    line.say(&job("view", &format!("n{n}-{i}"), "0.300"));
+                    assert!(line.answer().starts_with("HTTP/1.1 5"));
+                }
+            });
+        }
+    });
+    let forwards = |stage: &Stage| -> usize { stage.counters(&["forwards"])[9..].parse().unwrap() };
+    let sent: usize = stages.iter().map(forwards).sum();
+    let n: f64 = 2.5 * 0.3 * 4.0;
+    assert!((sent as f64) <= n + 2.0 * n.sqrt() + 2.0, "{sent} calls, {n} allowed");
+    assert!(stages.iter_mut().all(Stage::lives));
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -1,12 +1,14 @@
 //! A stage for stories: the built program between scripted clients, targets and discovery on loopback.
 #![allow(dead_code, reason = "each file of stories uses a part of it")]
 
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 /// Longer than anything here takes; only a failure waits for it.
 const LONG: Duration = Duration::from_secs(20);
@@ -54,6 +56,20 @@
         let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
         format!("{} | {}", head.lines().next().unwrap_or("closed"), body.trim())
     }
+    /// The same, or none if the connection is closed already.
+    pub fn try_say(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+    /// Says something, or a part of it, and goes: the connection ends behind all of it.
+    pub fn say_and_go(mut self, text: &str) {
+        std::thread::scope(|scope| {
+            scope.spawn(|| _ = self.0.get_mut().write_all(text.as_bytes()));
+        });
+    }
+    /// Resets the connection.
+    pub fn reset(self) {
+        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
     /// Waits until the other side closes.
     pub fn closed(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
@@ -73,8 +89,17 @@
     pub fn at(&self) -> SocketAddr {
         self.listener.local_addr().unwrap()
     }
+    /// The next connection; a story in which none comes has failed.
     pub fn accept(&self) -> Line {
-        Line::new(self.listener.accept().unwrap().0)
+        self.listener.set_nonblocking(true).unwrap();
+        let mut came = None;
+        until("a connection", || {
+            came = self.listener.accept().ok();
+            came.is_some()
+        });
+        let (stream, _) = came.unwrap();
+        stream.set_nonblocking(false).unwrap();
+        Line::new(stream)
     }
     /// Its entry in discovery's list.
     pub fn entry(&self, health: &str) -> String {
@@ -85,6 +110,137 @@
     }
 }
 
+/// A server whose machine has no room for one more connection: dials to it hang until there is.
+pub struct Narrow {
+    pub server: Server,
+    crowd: Vec<TcpStream>,
+}
+
+impl Narrow {
+    pub fn new(name: &str) -> Narrow {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let server = Server { name: name.to_string(), listener: socket.into() };
+        // Behind a backlog of none there is room for one that is not accepted yet.
+        let crowd = vec![TcpStream::connect(server.at()).unwrap()];
+        Narrow { server, crowd }
+    }
+    /// Makes room: the dials that hang come up, late.
+    pub fn widen(&mut self) {
+        for _ in self.crowd.drain(..) {
+            self.server.accept();
+        }
+    }
+}
+
+/// What an agent does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers them, watches when there is news or their wait is over.
+    Answers,
+    /// It leaves those that wait and those that come without an answer, for ever.
+    Silent,
+    /// It turns them away.
+    Refuses,
+}
+
+#[derive(Debug)]
+struct Told {
+    mode: Mode,
+    seq: u32,
+    entries: Vec<String>,
+    calls: Vec<(Instant, String)>,
+}
+
+/// Discovery that answers by itself, for any number of processes.
+pub struct Agent {
+    pub server: Server,
+    told: Arc<Mutex<Told>>,
+}
+
+impl Agent {
+    /// It answers with this list, as version 2.
+    pub fn new(mode: Mode, entries: &[String]) -> Agent {
+        let server = Server::new("d");
+        let told = Told { mode, seq: 2, entries: entries.to_vec(), calls: Vec::new() };
+        let told = Arc::new(Mutex::new(told));
+        let (listener, all) = (server.listener.try_clone().unwrap(), Arc::clone(&told));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let told = Arc::clone(&all);
+                std::thread::spawn(move || Agent::serve(Line::new(stream), &told));
+            }
+        });
+        Agent { server, told }
+    }
+    fn told(told: &Mutex<Told>) -> MutexGuard<'_, Told> {
+        told.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+    fn serve(mut line: Line, told: &Mutex<Told>) {
+        loop {
+            let call = line.hear();
+            let Some(first) = call.lines().next().map(str::to_string) else { return };
+            let number = |name: &str| {
+                let rest = first.split_once(name)?.1;
+                rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
+            };
+            let (from, hold) = (number("from="), Duration::from_millis(number("hold_ms=").unwrap_or(0)));
+            let begun = Instant::now();
+            Agent::told(told).calls.push((begun, first));
+            let text = loop {
+                let told = Agent::told(told);
+                match told.mode {
+                    Mode::Silent => {
+                        drop(told);
+                        line.closed();
+                        return;
+                    }
+                    Mode::Refuses => break response("503 Service Unavailable", ""),
+                    Mode::Answers if from != Some(told.seq.into()) => {
+                        break response("200 OK", &list(told.seq, true, &told.entries));
+                    }
+                    Mode::Answers if begun.elapsed() >= hold => {
+                        break response("200 OK", &list(told.seq, false, &[]));
+                    }
+                    Mode::Answers => {}
+                }
+                drop(told);
+                std::thread::sleep(Duration::from_millis(2));
+            };
+            if line.try_say(&text).is_err() {
+                return;
+            }
+        }
+    }
+    pub fn mode(&self, mode: Mode) {
+        Agent::told(&self.told).mode = mode;
+    }
+    /// The list is another one from now on.
+    pub fn lists(&self, entries: &[String]) {
+        let mut told = Agent::told(&self.told);
+        (told.seq, told.entries) = (told.seq + 1, entries.to_vec());
+    }
+    /// The calls so far with these words in them.
+    pub fn calls(&self, words: &str) -> Vec<Instant> {
+        let told = Agent::told(&self.told);
+        told.calls.iter().filter(|c| c.1.contains(words)).map(|c| c.0).collect()
+    }
+    /// Waits until there have been so many calls with these words in them.
+    pub fn called(&self, words: &str, count: usize) {
+        until(&format!("{count} calls with {words}"), || self.calls(words).len() >= count);
+    }
+}
+
+/// Waits for something to become true.
+pub fn until(what: &str, mut is: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !is() {
+        assert!(begun.elapsed() < LONG, "{what}: not within {LONG:?}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// The connections that come to any of these servers from now on, with the servers' names.
 pub struct Comers(Receiver<(String, TcpStream)>);
 
@@ -174,6 +330,10 @@
     pub fn with(known: &[&Server], discovery: &Server, more: &str) -> Stage {
         Stage::launch(known, discovery, more, |_| {})
     }
+    /// The same with words of its configuration changed, wherever they stand.
+    pub fn changed(known: &[&Server], discovery: &Server, changes: &[(&str, &str)]) -> Stage {
+        Stage::start(known, discovery, "", changes, |_| {})
+    }
     /// The same on a listening socket that the platform holds, beside whatever process has it already.
     pub fn beside(known: &[&Server], discovery: &Server, platform: &Platform) -> Stage {
         Stage::launch(known, discovery, r#""control":"127.0.0.1:0","#, |command| platform.lend(command))
@@ -188,12 +348,25 @@
         })
     }
     fn launch(known: &[&Server], discovery: &Server, more: &str, with: impl FnOnce(&mut Command)) -> Stage {
+        Stage::start(known, discovery, more, &[], with)
+    }
+    fn start(
+        known: &[&Server],
+        discovery: &Server,
+        more: &str,
+        changes: &[(&str, &str)],
+        with: impl FnOnce(&mut Command),
+    ) -> Stage {
         let entries: Vec<String> = known.iter().map(|t| t.entry("active")).collect();
-        let config = format!(
+        let mut config = format!(
             r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"2a","limits":{{"sockets":64}},{more}"known":{},"settings":{SETTINGS}}}"#,
             discovery.at(),
             list(1, true, &entries)
         );
+        for (old, new) in changes {
+            assert!(config.contains(old), "{old}");
+            config = config.replace(old, new);
+        }
         let files = tempfile::tempdir().unwrap();
         let file = files.path().join("config.json");
         std::fs::write(&file, &config).unwrap();
@@ -276,6 +449,12 @@
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
+    /// Has it stand still, and waits until it does.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let state = format!("/proc/{}/stat", self.child.id());
+        until("it stands still", || std::fs::read_to_string(&state).unwrap().contains(") T "));
+    }
     /// The counters named, as of now.
     pub fn counters(&self, names: &[&str]) -> String {
         self.signal("USR1");
@@ -283,6 +462,20 @@
         let words = all.split([' ', ';']).filter(|w| names.iter().any(|n| w.starts_with(&format!("{n}="))));
         words.collect::<Vec<_>>().join(" ")
     }
+    /// Waits until these counters are as said, in the order of the report.
+    pub fn until(&self, counters: &str) {
+        let names: Vec<&str> = counters.split(' ').filter_map(|c| c.split('=').next()).collect();
+        let mut last = String::new();
+        let begun = Instant::now();
+        while last != counters {
+            assert!(begun.elapsed() < LONG, "{last}, not {counters}");
+            last = self.counters(&names);
+        }
+    }
+    /// Whether its process has not ended.
+    pub fn lives(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
