--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -15,6 +15,12 @@
 const KEPT: usize = 16;
 /// Ended requests that are remembered, so that a second answer still finds the story of the first.
 const RECENT: usize = 8192;
+/// An attempt that begins later than this after its client has gone is for nobody; so many of them may be chance.
+const GONE: Nanos = 100_000_000;
+const GONE_BY_CHANCE: u64 = 2;
+/// A request that waited for its first attempt when its client went is not sent this long after that; over a quarter of
+/// those that waited fail the day.
+const GONE_WAITING: Nanos = 300_000_000;
 
 /// A rule of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, PartialOrd, Ord)]
@@ -40,11 +46,13 @@
     MadeByWorker,
     /// What was taken is answered before a scheduler that was asked to end has gone.
     NothingLostAtEnd,
+    /// Nothing is sent for a client that has gone.
+    ClientGone,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 10] = [
+    pub const ALL: [Rule; 11] = [
         Rule::AnsweredOnce,
         Rule::InTime,
         Rule::AtMostOnce,
@@ -55,6 +63,7 @@
         Rule::ColdWorker,
         Rule::MadeByWorker,
         Rule::NothingLostAtEnd,
+        Rule::ClientGone,
     ];
 }
 
@@ -174,6 +183,8 @@
     answered: bool,
     /// Nothing is owed any more: its client has left, or its scheduler was killed.
     void: bool,
+    /// When its client left before its answer.
+    left: Option<Nanos>,
     attempts: Vec<Attempt>,
     made: Vec<u64>,
     facts: Vec<(Nanos, Fact)>,
@@ -216,6 +227,11 @@
     answer_grace: Nanos,
     drain_grace: Nanos,
     second_copies: bool,
+    slack: Nanos,
+    /// Attempts begun for clients that had gone.
+    for_gone: u64,
+    /// Requests that waited for their first attempt when their client went, and those of them that were sent all the same.
+    left_waiting: (u64, u64),
     open: FxHashMap<u64, Story>,
     recent: VecDeque<u64>,
     ended: FxHashMap<u64, Story>,
@@ -237,6 +253,9 @@
             answer_grace: ms(day.terms.answer_grace_ms) + slack,
             drain_grace: ms(day.terms.drain_grace_ms) + slack,
             second_copies: day.terms.second_copies,
+            slack,
+            for_gone: 0,
+            left_waiting: (0, 0),
             open: FxHashMap::default(),
             recent: VecDeque::new(),
             ended: FxHashMap::default(),
@@ -311,9 +330,11 @@
         told: Option<Nanos>,
     ) {
         self.seen.attempts += 1;
-        let copies = self.second_copies;
+        let (copies, slack) = (self.second_copies, self.slack);
         let (effect, window) = self.effect(request);
         let story = self.fact(request, at, Fact::Received { worker, cell, job });
+        let after = story.left.and_then(|left| sent.checked_sub(left + slack));
+        let first_of_all = story.attempts.is_empty();
         let open = story.attempts.iter().any(|a| a.ended.is_none());
         let first = story.attempts.iter().find(|a| a.ended != Some(Ended::NeverRan)).cloned();
         story.attempts.push(Attempt { worker, cell, at: sent, job, ended: None, started: false });
@@ -343,6 +364,15 @@
                 Effect::Keyed | Effect::KeyedByZone => {}
             }
         }
+        if let Some(after) = after.filter(|after| *after > GONE) {
+            self.for_gone += 1;
+            self.left_waiting.1 += u64::from(first_of_all && after >= GONE_WAITING);
+            if self.for_gone > GONE_BY_CHANCE {
+                let what =
+                    format!("sent to worker {worker} {} ms after its client had gone", after / 1_000_000);
+                self.breach(Rule::ClientGone, at, request, what);
+            }
+        }
         if open && !copies {
             self.breach(Rule::SecondCopy, at, request, "a second copy while the first is out".into());
         }
@@ -467,7 +497,10 @@
     pub fn left(&mut self, at: Nanos, request: u64) {
         if self.open.get(&request).is_some_and(|s| !s.answered) {
             self.seen.void += 1;
-            self.fact(request, at, Fact::ClientLeft).void = true;
+            let story = self.fact(request, at, Fact::ClientLeft);
+            (story.void, story.left) = (true, Some(at));
+            let waiting = story.attempts.is_empty();
+            self.left_waiting.0 += u64::from(waiting);
             self.tidy(request);
         }
     }
@@ -524,6 +557,12 @@
 
     /// The day is over: what is not answered now never will be.
     pub fn finish(&mut self, at: Nanos) {
+        let (waited, sent) = self.left_waiting;
+        if sent * 4 > waited {
+            let what =
+                format!("{sent} of {waited} requests whose clients went while they waited were sent on");
+            self.breach(Rule::ClientGone, at, 0, what);
+        }
         let owed = |s: &Story| s.taken && !s.answered && !s.void;
         let mut lost: Vec<u64> = self.open.iter().filter(|(_, s)| owed(s)).map(|(r, _)| *r).collect();
         lost.sort_unstable();
--- a/crates/model/tests/referee.rs
+++ b/crates/model/tests/referee.rs
@@ -208,6 +208,41 @@
     assert_eq!(repeat(7_510 * ms), [Rule::KeyedRepeat]);
 }
 
+/// A client that has gone is sent nothing for: two cases are chance, and of those that waited for their first attempt no more
+/// than a quarter may be sent on.
+#[test]
+fn attempts_for_clients_that_have_gone_are_caught() {
+    let day = day("");
+    let ms = 1_000_000;
+    // Requests whose clients leave at 100 ms, each sent before or not, and then after so long.
+    let seen = |slack: Nanos, sent_before: bool, after: &[Nanos], quiet: u64| {
+        let mut referee = Referee::new(&day, slack);
+        for n in 0..after.len() as u64 + quiet {
+            referee.taken(0, 1 + n, 0, 0, 5_000 * ms);
+            if sent_before {
+                referee.received(10 * ms, 9 * ms, 1 + n, 3, 0, 100 + n, None);
+                referee.ended(20 * ms, 1 + n, 100 + n, HowEnded::NeverRan);
+            }
+            referee.left(100 * ms, 1 + n);
+        }
+        for (n, after) in after.iter().enumerate() {
+            let sent = 100 * ms + after;
+            referee.received(sent + ms, sent, 1 + n as u64, 4, 0, 200 + n as u64, None);
+        }
+        referee.finish(9_000 * ms);
+        referee.breaches.iter().map(|b| b.rule).collect::<Vec<_>>()
+    };
+    assert_eq!(seen(0, true, &[150 * ms; 2], 0), []);
+    assert_eq!(seen(0, true, &[150 * ms; 3], 0), [Rule::ClientGone]);
+    assert_eq!(seen(0, true, &[100 * ms; 9], 0), [], "in time");
+    assert_eq!(seen(50 * ms, true, &[150 * ms; 9], 0), [], "the slack of sockets");
+    assert_eq!(seen(50 * ms, true, &[151 * ms; 4], 0), [Rule::ClientGone; 2]);
+    // Two that waited are chance by their number, and over a quarter of seven, not of eight.
+    assert_eq!(seen(0, false, &[300 * ms; 2], 5), [Rule::ClientGone]);
+    assert_eq!(seen(0, false, &[300 * ms; 2], 6), []);
+    assert_eq!(seen(0, false, &[299 * ms; 2], 0), []);
+}
+
 /// The counters that tell whether a trouble did what its name says start at nothing.
 #[test]
 fn a_calm_day_moves_no_counter_of_any_trouble() {
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -548,3 +548,53 @@
     s.pool.sweep(now);
     s.wheel.set(now + SWEEP, Due::Sweep);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncWriteExt;
+    use tokio::net::TcpListener;
+
+    const TO: WorkerId = WorkerId(1);
+    const SECOND: Nanos = 1_000_000_000;
+
+    /// A pool with one idle connection put back at this time, and its other end.
+    async fn rested(pool: &Pool, since: Nanos) -> TcpStream {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let near = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        pool.adopt(TO, near, since);
+        listener.accept().await.unwrap().0
+    }
+
+    /// Where a target has answered twice once, a connection rests before it is used again, so that a second answer shows
+    /// before it could be taken for the next job's; after a minute it is trusted again.
+    #[tokio::test]
+    async fn connections_rest_after_their_answer_where_a_target_answers_twice() {
+        let pool = Pool::new(8, 60 * SECOND);
+        let _far = rested(&pool, SECOND).await;
+        let link = pool.take(TO, SECOND).expect("at once, as nobody answers twice");
+        pool.put(TO, link, SECOND);
+        let mut twice = rested(&pool, SECOND).await;
+        twice.write_all(b"HTTP/1.1 202 Accepted\r\n\r\n").await.unwrap();
+        while pool.open() > 1 {
+            tokio::task::yield_now().await;
+            pool.sweep(SECOND);
+        }
+        assert!(pool.take(TO, SECOND + REST - 1).is_none(), "it has not rested");
+        let link = pool.take(TO, SECOND + REST).expect("it has rested");
+        let later = SECOND + RELEARN;
+        pool.put(TO, link, later);
+        assert!(pool.take(TO, later).is_some(), "what was learned a minute ago is tried anew");
+    }
+
+    #[tokio::test]
+    async fn idle_connections_that_their_target_has_closed_are_swept_and_never_taken() {
+        let pool = Pool::new(8, 60 * SECOND);
+        drop(rested(&pool, SECOND).await);
+        while pool.open() > 0 {
+            tokio::task::yield_now().await;
+            pool.sweep(SECOND);
+        }
+        assert!(pool.take(TO, SECOND).is_none());
+    }
+}
