--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -137,7 +137,8 @@
         assert!(said.contains(fault) && said.ends_with("starting from the one that ran before"), "{said}");
         new.ready();
         // It runs by what the old one had taken in last.
-        assert!(new.ask(&job("lodge", "a1", "3.000")).ends_with("unknown class"));
+        let said = new.ask(&job("lodge", "a1", "3.000"));
+        assert!(said.ends_with("unknown class"), "{text}: {said:?}");
         let mut client = new.connect();
         client.say(&job("sign", "a2", "3.000"));
         let heard = target.accept().hear();
