--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -36,7 +36,8 @@
 fn a_client_that_leaves_while_its_job_waits_is_noticed_whatever_it_says_as_it_goes() {
     let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
     let stage = Stage::changed(&[], &discovery.server, &[PATIENT, ROOMY]);
-    let ways: [(&str, fn(Line)); 5] = [
+    type Way = (&'static str, fn(Line));
+    let ways: [Way; 5] = [
         ("closes", drop),
         ("resets", Line::reset),
         ("has begun its next request", |line| line.say_and_go("POST /view/7f HTTP/1.1\r\n")),
