--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -249,7 +249,7 @@
         self.is_closed() || !self.has_input() && !self.poll_input()
     }
 
-    /// Waits until the other side has closed or reset. Of what it says meanwhile no more than [`AHEAD`] is kept, so that
+    /// Waits until the other side has closed or reset. Of what it says meanwhile no more than `AHEAD` is kept, so that
     /// it cannot fill our memory, and the rest is thrown away, slowly: its end comes behind it. Loses nothing of what is
     /// kept when dropped half-way.
     pub async fn closed(&mut self) {
