--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -49,7 +49,26 @@
         let day = day(name);
         let module = simulate::run(&day, 3, 2);
         for idea in [Idea::TwoChoices, Idea::Random] {
-            let other = textbook(&day, 3, 2, idea).figures.service;
+            let other = textbook(&day, 3, 2, idea).figures;
+            // Nor is that bought from one class or tenant: the floors of the standing test, against a policy that sees less.
+            let parts = |all: &[f64], least: &[f64], part: f64| {
+                all.len() == least.len() && all.iter().zip(least).all(|(own, other)| *own >= part * other)
+            };
+            let own = &module.figures;
+            assert!(
+                parts(&own.classes, &other.classes, 0.5),
+                "{name}: {:?}, {:?}",
+                own.classes,
+                other.classes
+            );
+            assert!(
+                parts(&own.tenants, &other.tenants, 1.0 / 3.0),
+                "{name}: {:?}, {:?}",
+                own.tenants,
+                other.tenants
+            );
+            assert!(!own.classes.is_empty() && !own.tenants.is_empty());
+            let other = other.service;
             assert!(
                 module.figures.service > other + least,
                 "{name}: {} against {other}",
