--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -248,17 +248,19 @@
         let run = (class.aim as f64).max(1e6);
         Learned { run, seen: false, count: 0, most: run.max(class.deadline as f64 * UNSEEN), longest: 0 }
     }
+    /// Jobs seen. What a process handed over that did not count them is well known.
+    fn jobs(&self) -> u32 {
+        if self.seen && self.count == 0 { u32::MAX } else { self.count }
+    }
     /// Takes in how long a job has run: a plain mean of the first ones, then one that forgets.
     pub(crate) fn ran(&mut self, run: f64) {
-        let known = std::mem::replace(&mut self.seen, true);
-        // What another process has handed over counts as well known.
-        self.count = if known && self.count == 0 { u32::MAX } else { self.count.saturating_add(1) };
+        (self.count, self.seen) = (self.jobs().saturating_add(1), true);
         self.run += (run - self.run) * (1.0 / f64::from(self.count)).max(FURTHER);
     }
     /// How many times its mean a job is taken to run where too little would do harm: many dispatchers that have seen no
     /// job, or one short one each, would together send a cold worker far more than it bears.
     pub(crate) fn caution(&self) -> f64 {
-        let seen = f64::from(if self.seen && self.count == 0 { u32::MAX } else { self.count });
+        let seen = f64::from(self.jobs());
         let doubt = DOUBT / (1.0 + seen);
         (self.most * doubt / self.run.max(1.0) + seen) / (doubt + seen)
     }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -29,6 +29,14 @@
     stage.call_back(&done(id, from));
 }
 
+/// A job of a new client goes to this server and is served there.
+fn goes_to(stage: &Stage, to: &Server, id: &str, seconds: &str) {
+    let mut client = stage.connect();
+    client.say(&job("view", id, seconds));
+    serve(stage, &mut to.accept(), to, id);
+    assert!(client.answer().ends_with(id), "{id}");
+}
+
 // ---- clients that go
 
 /// Whatever a client does as it goes, and with a crowd of others at once: nothing of its is sent once there is a worker.
@@ -57,10 +65,7 @@
     // There is a worker now, and one job that is still wanted.
     discovery.lists(&[target.entry("active")]);
     discovery.mode(Mode::Answers);
-    let mut client = stage.connect();
-    client.say(&job("view", "b1", "19.000"));
-    serve(&stage, &mut target.accept(), &target, "b1");
-    assert!(client.answer().ends_with("b1"));
+    goes_to(&stage, &target, "b1", "19.000");
     stage.until("flows=21 gone=20 forwards=1");
 }
 
@@ -100,10 +105,7 @@
     narrow.widen();
     stage.until("gone=1 forwards=1 NotSent=1 dials=1");
     // The connection that came up is kept, and the next job is the first that is ever said on it.
-    let mut client = stage.connect();
-    client.say(&job("view", "b1", "19.000"));
-    serve(&stage, &mut narrow.server.accept(), &narrow.server, "b1");
-    assert!(client.answer().ends_with("b1"));
+    goes_to(&stage, &narrow.server, "b1", "19.000");
 }
 
 // ---- what changes while a dial is on its way
@@ -186,10 +188,7 @@
         discovery.called("from=3", FLEET);
         assert!(silent.elapsed() < Duration::from_secs(6), "{mode}: {:?}", silent.elapsed());
         for stage in &stages {
-            let mut client = stage.connect();
-            client.say(&job("view", "a1", "3.000"));
-            serve(stage, &mut two.accept(), &two, "a1");
-            assert!(client.answer().ends_with("a1"), "{mode}");
+            goes_to(stage, &two, "a1", "3.000");
         }
     }
 }
@@ -209,10 +208,7 @@
     assert!(longest < Duration::from_secs(2), "{longest:?}");
     discovery.mode(Mode::Answers);
     discovery.called("from=2", 1);
-    let mut client = stage.connect();
-    client.say(&job("view", "a1", "3.000"));
-    serve(&stage, &mut two.accept(), &two, "a1");
-    assert!(client.answer().ends_with("a1"));
+    goes_to(&stage, &two, "a1", "3.000");
 }
 
 /// What the agent has counts from the first moment, and at once when an outage ends: a call that it left unanswered is not
@@ -252,10 +248,7 @@
     assert!(stage.descriptors() <= 64);
     discovery.mode(Mode::Answers);
     stage.until("lists=1");
-    let mut client = stage.connect();
-    client.say(&job("view", "a1", "3.000"));
-    serve(&stage, &mut two.accept(), &two, "a1");
-    assert!(client.answer().ends_with("a1"));
+    goes_to(&stage, &two, "a1", "3.000");
 }
 
 // ---- connections that end
