--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,6 +3,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod page;
+pub mod plan;
+
 use serde::{Deserialize, Serialize};
 
 /// How a figure came about.
--- /dev/null
+++ b/crates/capacity/src/plan.rs
@@ -0,0 +1,251 @@
+//! The target: what each role's costs come to at named sizes, and which of the target's limits breaks first. Pure: the
+//! plan's words come from a file, its figures from whoever has measured.
+
+use crate::Source;
+use serde::{Deserialize, Serialize};
+
+/// Where figures come from.
+pub trait Measured {
+    /// What a series comes to at a size; `None` where it was not measured or cannot be said.
+    fn figure(&self, series: &str, size: f64) -> Option<Figure>;
+    /// The size at which a series of growing costs meets a budget; `None` if it is not known to.
+    fn breaks_at(&self, series: &str, budget: f64) -> Option<f64>;
+    /// The greatest value of a series of outputs, such as versions a second: more does not come out, whatever goes in.
+    fn most(&self, series: &str) -> Option<f64>;
+}
+
+/// A cost at one size.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figure {
+    /// In the series' unit.
+    pub value: f64,
+    /// How it came about.
+    pub source: Source,
+    /// The size lies beyond those that were measured: the figure follows the slope.
+    pub beyond: bool,
+}
+
+/// The plan as it is written down: `docs/capacity/target.toml`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Costs of roles at three sizes.
+    #[serde(default, rename = "row")]
+    pub rows: Vec<Row>,
+    /// What the target must not exceed, or must reach.
+    #[serde(default, rename = "limit")]
+    pub limits: Vec<Limit>,
+}
+
+/// One cost of a role.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Row {
+    /// Names the row; unique.
+    pub key: String,
+    /// Whose cost.
+    pub role: String,
+    /// What it is.
+    pub cost: String,
+    /// The series that gives it.
+    pub series: String,
+    /// Unit of the figures that are shown.
+    pub unit: String,
+    /// The series' values are divided by this to be shown.
+    #[serde(default = "one")]
+    pub per: f64,
+    /// The size today, at the target, and at three times the target, in what the series counts.
+    pub sizes: [f64; 3],
+    /// The mechanism that carries it (a crate), or "missing".
+    pub carried_by: String,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Something of the target that breaks at some size.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limit {
+    /// Names the limit; unique.
+    pub key: String,
+    /// What grows, and what it must not exceed.
+    pub what: String,
+    /// Unit of the sizes.
+    pub unit: String,
+    /// The size at the target.
+    pub target: f64,
+    /// The size at which it breaks is divided by this to be shown, and the target too.
+    #[serde(default = "one")]
+    pub per: f64,
+    /// How the size at which it breaks is known.
+    pub breaks: Breaks,
+    /// Whether other things of the target are built on what is missing here.
+    pub blocks: bool,
+    /// The mechanism that carries it, or that is missing.
+    pub carried_by: String,
+}
+
+/// How the size at which a limit breaks is known.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Breaks {
+    /// Where this series meets this budget.
+    Budget {
+        /// The series' key.
+        series: String,
+        /// In the series' unit.
+        budget: f64,
+    },
+    /// No more than the most that this series reached.
+    Most {
+        /// The series' key.
+        series: String,
+    },
+    /// A constant of the program.
+    Constant {
+        /// The file that has it, from the root.
+        file: String,
+        /// Its name there.
+        name: String,
+        /// Its value, divided by what one unit of the size takes of it.
+        value: f64,
+        /// What one unit of the size takes.
+        #[serde(default = "one")]
+        each: f64,
+    },
+    /// Nothing of the kind is there.
+    Absent,
+}
+
+/// A row with its figures.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Costed {
+    /// The row.
+    #[serde(flatten)]
+    pub row: Row,
+    /// Its figures at its sizes, already divided by `per`.
+    pub figures: [Option<Figure>; 3],
+}
+
+/// A limit with its place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ranked {
+    /// The limit.
+    #[serde(flatten)]
+    pub limit: Limit,
+    /// The size at which it breaks; `None` if nothing measured breaks it.
+    pub at: Option<f64>,
+    /// That size divided by the target's: below 1 the target does not hold.
+    pub ratio: Option<f64>,
+}
+
+/// The plan with its figures, the limits in the order in which they break.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Planned {
+    /// The costs.
+    pub rows: Vec<Costed>,
+    /// The limits, smallest ratio first; those that do not break last.
+    pub limits: Vec<Ranked>,
+}
+
+/// What is wrong with a plan.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlanError {
+    /// Two rows or limits have one key.
+    #[error("{0}: stands there twice; give each row and limit a key of its own")]
+    Twice(String),
+    /// A size, budget or divisor that is no number above 0.
+    #[error("{key}: {value} is no number above 0")]
+    Size {
+        /// Of which row or limit.
+        key: String,
+        /// What stands there.
+        value: String,
+    },
+    /// A series that the report does not have.
+    #[error("{key}: no series {series:?} in the report; run the bench with it, or correct the name")]
+    Series {
+        /// Of which row or limit.
+        key: String,
+        /// The name.
+        series: String,
+    },
+}
+
+impl Plan {
+    /// The first thing that cannot be worked with.
+    fn check(&self) -> Result<(), PlanError> {
+        let mut keys: Vec<&str> = self.rows.iter().map(|r| &*r.key).collect();
+        keys.extend(self.limits.iter().map(|l| &*l.key));
+        keys.sort_unstable();
+        if let Some(pair) = keys.windows(2).find(|pair| pair[0] == pair[1]) {
+            return Err(PlanError::Twice(pair[0].into()));
+        }
+        let sound = |key: &str, value: f64| {
+            let error = || PlanError::Size { key: key.into(), value: value.to_string() };
+            (value.is_finite() && value > 0.0).then_some(()).ok_or_else(error)
+        };
+        for row in &self.rows {
+            row.sizes.iter().chain([&row.per]).try_for_each(|size| sound(&row.key, *size))?;
+        }
+        for limit in &self.limits {
+            sound(&limit.key, limit.target)?;
+            sound(&limit.key, limit.per)?;
+            match &limit.breaks {
+                Breaks::Budget { budget, .. } => sound(&limit.key, *budget)?,
+                Breaks::Constant { value, each, .. } => {
+                    sound(&limit.key, *value)?;
+                    sound(&limit.key, *each)?;
+                }
+                Breaks::Most { .. } | Breaks::Absent => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// The plan's figures and the order in which its limits break.
+    pub fn over(&self, measured: &dyn Measured) -> Result<Planned, PlanError> {
+        self.check()?;
+        let mut rows = Vec::new();
+        for row in &self.rows {
+            let figures = row.sizes.map(|size| measured.figure(&row.series, size));
+            if figures.iter().all(Option::is_none) {
+                return Err(PlanError::Series { key: row.key.clone(), series: row.series.clone() });
+            }
+            let shown = |f: Figure| Figure { value: f.value / row.per, ..f };
+            rows.push(Costed { row: row.clone(), figures: figures.map(|f| f.map(shown)) });
+        }
+        let mut limits = Vec::new();
+        for limit in &self.limits {
+            let known = |series: &String| {
+                let error = || PlanError::Series { key: limit.key.clone(), series: series.clone() };
+                measured.most(series).ok_or_else(error)
+            };
+            let at = match &limit.breaks {
+                Breaks::Budget { series, budget } => {
+                    known(series)?;
+                    measured.breaks_at(series, *budget)
+                }
+                Breaks::Most { series } => Some(known(series)?),
+                Breaks::Constant { value, each, .. } => Some(value / each),
+                Breaks::Absent => Some(0.0),
+            };
+            let ratio = at.map(|at| at / limit.target);
+            limits.push(Ranked { limit: limit.clone(), at: at.map(|at| at / limit.per), ratio });
+        }
+        limits.sort_by(|a, b| {
+            let of = |r: &Ranked| r.ratio.unwrap_or(f64::INFINITY);
+            of(a).total_cmp(&of(b)).then_with(|| a.limit.key.cmp(&b.limit.key))
+        });
+        Ok(Planned { rows, limits })
+    }
+}
+
+impl Planned {
+    /// The limit that goes first: the first below 1 on which other things are built.
+    pub fn first(&self) -> Option<&Ranked> {
+        self.limits.iter().find(|l| l.limit.blocks && l.ratio.is_some_and(|ratio| ratio < 1.0))
+    }
+}
--- /dev/null
+++ b/crates/capacity/tests/plan.rs
@@ -0,0 +1,102 @@
+//! The plan over planted measurements: figures at their sizes, the order of limits, and what is refused.
+
+use loomlb_capacity::Source;
+use loomlb_capacity::plan::{Breaks, Figure, Limit, Measured, Plan, PlanError, Row};
+
+/// Costs of 10 and 2 for each unit of size, measured up to 100; the second never gets over 7.
+struct Planted;
+
+impl Measured for Planted {
+    fn figure(&self, series: &str, size: f64) -> Option<Figure> {
+        (series == "line").then_some(Figure {
+            value: 10.0 + 2.0 * size,
+            source: Source::Counted,
+            beyond: size > 100.0,
+        })
+    }
+    fn breaks_at(&self, series: &str, budget: f64) -> Option<f64> {
+        (series == "line").then_some((budget - 10.0) / 2.0)
+    }
+    fn most(&self, series: &str) -> Option<f64> {
+        [("line", 210.0), ("flat", 7.0)].into_iter().find(|s| s.0 == series).map(|s| s.1)
+    }
+}
+
+fn row(key: &str, series: &str) -> Row {
+    Row {
+        key: key.into(),
+        role: "scheduler".into(),
+        cost: "time".into(),
+        series: series.into(),
+        unit: "us".into(),
+        per: 2.0,
+        sizes: [5.0, 100.0, 300.0],
+        carried_by: "crate".into(),
+    }
+}
+
+fn limit(key: &str, breaks: Breaks, blocks: bool) -> Limit {
+    Limit {
+        key: key.into(),
+        what: "w".into(),
+        unit: "u".into(),
+        target: 20.0,
+        per: 1.0,
+        breaks,
+        blocks,
+        carried_by: "missing".into(),
+    }
+}
+
+fn budget(series: &str, budget: f64) -> Breaks {
+    Breaks::Budget { series: series.into(), budget }
+}
+
+#[test]
+fn rows_get_their_figures_and_say_which_lie_beyond_what_was_measured() {
+    let plan = Plan { rows: vec![row("a", "line")], limits: Vec::new() };
+    let planned = plan.over(&Planted).unwrap();
+    let told: Vec<(f64, bool)> =
+        planned.rows[0].figures.iter().map(|f| f.map_or((0.0, false), |f| (f.value, f.beyond))).collect();
+    assert_eq!(told, [(10.0, false), (105.0, false), (305.0, true)]);
+}
+
+#[test]
+fn limits_stand_in_the_order_in_which_they_break_and_the_first_that_blocks_goes_first() {
+    let constant = Breaks::Constant { file: "f".into(), name: "N".into(), value: 64.0, each: 2.0 };
+    let limits = vec![
+        limit("holds", budget("line", 1010.0), true),
+        limit("output", Breaks::Most { series: "flat".into() }, true),
+        limit("absent", Breaks::Absent, false),
+        limit("constant", constant, true),
+        limit("cost", budget("line", 20.0), true),
+    ];
+    let planned = Plan { rows: Vec::new(), limits }.over(&Planted).unwrap();
+    let order: Vec<(&str, f64)> =
+        planned.limits.iter().map(|l| (&*l.limit.key, l.ratio.unwrap_or(f64::NAN))).collect();
+    assert_eq!(
+        order,
+        [("absent", 0.0), ("cost", 0.25), ("output", 0.35), ("constant", 1.6), ("holds", 25.0)]
+    );
+    assert_eq!(planned.first().map(|l| &*l.limit.key), Some("cost"), "nothing is built on what is absent");
+}
+
+#[test]
+fn a_plan_that_cannot_be_worked_with_names_its_key() {
+    let of = |rows, limits| Plan { rows, limits }.over(&Planted).unwrap_err();
+    assert_eq!(
+        of(vec![row("a", "line")], vec![limit("a", Breaks::Absent, true)]),
+        PlanError::Twice("a".into())
+    );
+    let missing = |key: &str| PlanError::Series { key: key.into(), series: "other".into() };
+    assert_eq!(of(vec![row("a", "other")], Vec::new()), missing("a"));
+    assert_eq!(of(Vec::new(), vec![limit("b", budget("other", 1.0), true)]), missing("b"));
+    assert_eq!(of(Vec::new(), vec![limit("b", Breaks::Most { series: "other".into() }, true)]), missing("b"));
+    for bad in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let wrong = PlanError::Size { key: "b".into(), value: bad.to_string() };
+        assert_eq!(of(Vec::new(), vec![limit("b", budget("line", bad), true)]), wrong);
+        let mut sized = row("b", "line");
+        sized.sizes[1] = bad;
+        assert_eq!(of(vec![sized], Vec::new()), wrong);
+    }
+}
