The tier leaves the scheduler for a crate of its own, behind one trait

Moved with its history to crates/tier; what it asks of the process around it is loomlb_tier::Application, eight methods, which crates/scheduler/src/agreed.rs answers. It names no stage any more. One difference: how long a list is behind is measured by the tier's own clock, which the trials let run fast or slow.

--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -1,8 +1,9 @@
 //! Control: the second address, where staff call. One call a connection; a front of its own, so that it answers whatever
 //! the clients' listener is at. What a call means is decided in `loomlb-control`.
 
+use super::agreed::Around;
 use super::http::{Fault, Kind, Message, Wire, response};
-use super::{Scheduler, discovery, tier, upgrade};
+use super::{Scheduler, discovery, upgrade};
 use loomlb_control::call::{self, Call};
 use loomlb_control::service::State;
 use loomlb_handover::words::Ask;
@@ -159,15 +160,18 @@
             return no(404, "no tier is configured here");
         }
         let (status, body) = match call {
-            Call::Propose(base) => tier::proposed(s, &message.body, base).await,
-            _ => (200, tier::state(s)),
+            Call::Propose(base) => {
+                loomlb_tier::proposed(&s.tier, &Around(Rc::clone(s)), &message.body, base).await
+            }
+            _ => (200, loomlb_tier::state(&s.tier, &Around(Rc::clone(s)))),
         };
         return Reply { status, body: format!("{body}\n"), allow: None };
     }
     if let Call::Offline(host) | Call::Online(host) = &call
         && s.tier.on()
     {
-        let (status, body) = tier::order(s, host, matches!(call, Call::Offline(_))).await;
+        let out = matches!(call, Call::Offline(_));
+        let (status, body) = loomlb_tier::order(&s.tier, &Around(Rc::clone(s)), host, out).await;
         return Reply { status, body: format!("{body}\n"), allow: None };
     }
     if call != Call::Ready {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admit;
+pub mod agreed;
 pub mod book;
 pub mod changes;
 pub mod clock;
@@ -25,7 +26,6 @@
 pub mod send;
 pub mod shares;
 pub mod shutdown;
-pub mod tier;
 pub mod upgrade;
 pub mod wheel;
 
@@ -71,7 +71,7 @@
     /// Nested quotas, where the operator has them.
     pub shares: shares::Shares,
     /// What the tier has agreed on, where the operator has one.
-    pub tier: tier::Tier,
+    pub tier: loomlb_tier::Tier,
 }
 
 impl Scheduler {
@@ -82,12 +82,12 @@
 }
 
 /// Runs the scheduler until it is told to end.
-pub fn serve(config: Config, quotas: shares::Quotas, tier: Option<tier::Spec>) -> io::Result<()> {
+pub fn serve(config: Config, quotas: shares::Quotas, tier: Option<loomlb_tier::Spec>) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, run(config, quotas, tier))
 }
 
-async fn run(config: Config, quotas: shares::Quotas, tier: Option<tier::Spec>) -> io::Result<()> {
+async fn run(config: Config, quotas: shares::Quotas, tier: Option<loomlb_tier::Spec>) -> io::Result<()> {
     // Before anything that takes time: a signal that nobody has taken over ends the program.
     let (hangup, signals) = (reload::take_over()?, shutdown::Signals::new()?);
     if let Some(fault) = &config.passed_over {
@@ -106,7 +106,7 @@
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| named("control", e))?),
         None => None,
     };
-    let (tier, links) = tier::open(tier, &config.name).await.map_err(|e| named("tier", e))?;
+    let (tier, links) = loomlb_tier::open(tier, &config.name).await.map_err(|e| named("tier", e))?;
     let mut before = upgrade::predecessor(&config).await;
     let socket = before.as_mut().and_then(upgrade::Before::peers);
     let peers = peers::Peers::open(&config, socket).await.map_err(|e| named("peer_listen", e))?;
@@ -148,7 +148,7 @@
         tracing::info!("control at {}", calls.local_addr()?);
         spawn_local(control::accept(Rc::clone(&s), calls));
     }
-    tier::start(&s, links);
+    loomlb_tier::start(&s.tier, &agreed::around(&s), links);
     shutdown::wait(&s, signals).await;
     shutdown::report(&s);
     Ok(())
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -2,7 +2,7 @@
 //! says.
 
 use super::config::Fresh;
-use super::{Scheduler, discovery, route, tier};
+use super::{Scheduler, agreed, discovery, route};
 use loomlb_decide::{Event, Start};
 use std::io;
 use std::rc::Rc;
@@ -41,7 +41,7 @@
     if s.tier.on() {
         // Where the tier agrees on settings, a file is a proposal, and only what is this scheduler's own is taken in here.
         s.group.follow_at(fresh.discovery);
-        tier::propose_settings(s, &fresh.settings());
+        agreed::propose_settings(s, &fresh.settings());
         return Ok(());
     }
     put_in_force(s, fresh)
--- a/crates/scheduler/src/tier.rs
+++ b/crates/tier/src/lib.rs
@@ -3,16 +3,17 @@
 //!
 //! What may be acted on, and for how long, is decided in `loomlb-accord`. Here are the sockets, the file and the timers
 //! around it: a link to each voter, on which this scheduler asks for its lease and a voter sends what voters tell each
-//! other; at a voter the listener for those links; and the way of a version into force.
+//! other; at a voter the listener for those links; and the way of a version into force. What acts by the rules is an
+//! [`Application`], of which the tier knows no more than that.
+
+#![forbid(unsafe_code)]
 
-use super::config::Fresh;
-use super::{Scheduler, control, discovery, reload};
 use loomlb_accord::agreement::{self, Agreement, TICK};
 use loomlb_accord::check::{Event as Did, Line};
 use loomlb_accord::disk::LogFile;
 use loomlb_accord::frames::{self, Channel, FIRST, FORMAT, Nonce, Word};
 use loomlb_accord::holder::Holder;
-use loomlb_accord::lists::{Lists, Theirs};
+use loomlb_accord::lists::{Leaving, Lists, Mine, Theirs};
 use loomlb_accord::promises::{Process, Promises};
 use loomlb_accord::rules::{self, Body};
 use loomlb_accord::state::{Command, Outcome, State};
@@ -179,9 +180,29 @@
     }
 }
 
-/// The tier as this scheduler sees it.
-#[derive(Debug, Default)]
-pub struct Tier(Option<On>);
+/// What acts by the tier's rules: the process around it. The tier asks no more of it than this.
+pub trait Application {
+    /// What it has been told of the workers.
+    fn list(&self) -> Mine;
+    /// The settings that are in force in it, its own keys included.
+    fn settings(&self) -> Value;
+    /// Why it could not act on these settings, by their key; it changes nothing.
+    fn check(&self, settings: Value) -> Result<(), String>;
+    /// Puts these settings in force, all of them or nothing.
+    fn put_in_force(&self, settings: Value) -> Result<(), String>;
+    /// Takes a worker out, or puts it back.
+    fn order(&self, worker: &str, out: bool);
+    /// Another scheduler was told that a worker is leaving; true if that is news here.
+    fn leaving(&self, leaving: &Leaving) -> bool;
+    /// Words of others on leaving workers that were not said again for a while are over.
+    fn forget_leaving(&self);
+    /// Others have a newer list: it is asked for at once.
+    fn ask_list_anew(&self);
+}
+
+/// The tier as this scheduler sees it; a clone is the same one.
+#[derive(Clone, Debug, Default)]
+pub struct Tier(Option<Rc<On>>);
 
 /// What a voter has beside its lease.
 #[derive(Debug)]
@@ -343,7 +364,7 @@
         None => None,
     };
     Ok((
-        Tier(Some(On {
+        Tier(Some(Rc::new(On {
             name: name.into(),
             timing,
             process: random()?,
@@ -364,7 +385,7 @@
             history: RefCell::new(history),
             counts: Counts::default(),
             spec,
-        })),
+        }))),
         links,
     ))
 }
@@ -398,16 +419,15 @@
 }
 
 /// Takes over from the process of this scheduler that votes, once it has ended.
-async fn succeed(s: Rc<Scheduler>, number: u64) {
-    let Some(on) = &s.tier.0 else { return };
+async fn succeed(on: Rc<On>, number: u64) {
     loop {
         tokio::time::sleep(SUCCEED).await;
         match vote_as(&on.spec, &on.name, number, on.timing, on.now()) {
             Ok((listener, seat)) => {
                 tracing::info!("tier: this process votes now");
                 *on.voter.borrow_mut() = Some(seat);
-                spawn_local(accept(Rc::clone(&s), listener));
-                spawn_local(vote(Rc::clone(&s)));
+                spawn_local(accept(Rc::clone(&on), listener));
+                spawn_local(vote(Rc::clone(&on)));
                 return;
             }
             Err(e) if elsewhere(&e) => {}
@@ -417,18 +437,18 @@
 }
 
 /// Starts the links and the timers, where there is a tier.
-pub fn start(s: &Rc<Scheduler>, listener: Option<TcpListener>) {
-    let Some(on) = &s.tier.0 else { return };
+pub fn start(tier: &Tier, around: &Rc<dyn Application>, listener: Option<TcpListener>) {
+    let Some(on) = &tier.0 else { return };
     if let Some(listener) = listener {
-        spawn_local(accept(Rc::clone(s), listener));
-        spawn_local(vote(Rc::clone(s)));
+        spawn_local(accept(Rc::clone(on), listener));
+        spawn_local(vote(Rc::clone(on)));
     } else if let Some(number) = on.number {
-        spawn_local(succeed(Rc::clone(s), number));
+        spawn_local(succeed(Rc::clone(on), number));
     }
     for voter in (0..on.boxes.len()).filter(|v| on.number != Some(*v as u64 + 1)) {
-        spawn_local(link(Rc::clone(s), voter));
+        spawn_local(link(Rc::clone(on), Rc::clone(around), voter));
     }
-    spawn_local(renew(Rc::clone(s)));
+    spawn_local(renew(Rc::clone(on), Rc::clone(around)));
 }
 
 // ---- links
@@ -460,8 +480,7 @@
 }
 
 /// Keeps a link to a voter open for as long as the program runs.
-async fn link(s: Rc<Scheduler>, voter: usize) {
-    let Some(on) = &s.tier.0 else { return };
+async fn link(on: Rc<On>, around: Rc<dyn Application>, voter: usize) {
     loop {
         let VoterAt { name, at } = &on.spec.voters[voter];
         let opened = tokio::time::timeout(SILENT, async {
@@ -475,8 +494,8 @@
             let (read, write) = stream.into_split();
             on.hurry.notify_one();
             let ended = tokio::select! {
-                ended = hear_voter(&s, voter, read, from) => ended,
-                ended = tell_voter(&s, voter, write, to) => ended,
+                ended = hear_voter(&on, &*around, voter, read, from) => ended,
+                ended = tell_voter(&on, voter, write, to) => ended,
             };
             if let Err(e) = ended {
                 more(&on.counts.faults);
@@ -488,7 +507,8 @@
 }
 
 async fn hear_voter(
-    s: &Rc<Scheduler>,
+    on: &On,
+    around: &dyn Application,
     voter: usize,
     mut from: OwnedReadHalf,
     mut channel: Channel,
@@ -496,19 +516,13 @@
     let mut bytes = Vec::new();
     loop {
         if let Word::Answer { number, yes, news, lists } = next(&mut from, &mut channel, &mut bytes).await? {
-            answered(s, voter, number, yes, news.map(|n| *n));
-            compare(s, &lists);
+            answered(on, around, voter, number, yes, news.map(|n| *n));
+            compare(on, around, &lists);
         }
     }
 }
 
-async fn tell_voter(
-    s: &Rc<Scheduler>,
-    voter: usize,
-    mut to: OwnedWriteHalf,
-    mut channel: Channel,
-) -> io::Result<()> {
-    let Some(on) = &s.tier.0 else { return Ok(()) };
+async fn tell_voter(on: &On, voter: usize, mut to: OwnedWriteHalf, mut channel: Channel) -> io::Result<()> {
     let hello = Word::Hello { format: FORMAT, name: on.name.clone(), process: on.process, voter: on.number };
     to.write_all(&channel.seal(&hello)).await?;
     loop {
@@ -521,19 +535,17 @@
 }
 
 /// Accepts links at a voter for as long as the program runs.
-async fn accept(s: Rc<Scheduler>, listener: TcpListener) {
+async fn accept(on: Rc<On>, listener: TcpListener) {
     loop {
         let accepted = listener.accept().await;
-        let Some(on) = &s.tier.0 else { return };
         let Some((stream, from)) = accepted.ok().filter(|_| on.counts.links.get() < LINKS) else {
             tokio::time::sleep(AGAIN).await;
             continue;
         };
-        let s = Rc::clone(&s);
+        let on = Rc::clone(&on);
         spawn_local(async move {
-            let Some(on) = &s.tier.0 else { return };
             on.counts.links.set(on.counts.links.get() + 1);
-            if let Err(e) = called(&s, on, stream).await
+            if let Err(e) = called(&on, stream).await
                 && e.kind() == io::ErrorKind::Other
             {
                 more(&on.counts.faults);
@@ -545,7 +557,7 @@
 }
 
 /// A link that another scheduler has opened to this voter.
-async fn called(s: &Rc<Scheduler>, on: &On, mut stream: TcpStream) -> io::Result<()> {
+async fn called(on: &On, mut stream: TcpStream) -> io::Result<()> {
     let greeted = tokio::time::timeout(SILENT, greet(&mut stream)).await;
     let (mine, theirs) = greeted.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     let (mut from, mut to) = frames::channels(&on.spec.key, &theirs, &mine);
@@ -561,7 +573,7 @@
     let who = (name, process);
     loop {
         let word = next(&mut read, &mut from, &mut bytes).await?;
-        if let Some(reply) = voter_hears(s, &who, voter, word) {
+        if let Some(reply) = voter_hears(on, &who, voter, word) {
             let written = tokio::time::timeout(SILENT, write.write_all(&to.seal(&reply))).await;
             written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         }
@@ -571,8 +583,7 @@
 // ---- the voter
 
 /// What this voter makes of a word, and its reply.
-fn voter_hears(s: &Rc<Scheduler>, who: &Process, voter: Option<u64>, word: Word) -> Option<Word> {
-    let on = s.tier.0.as_ref()?;
+fn voter_hears(on: &On, who: &Process, voter: Option<u64>, word: Word) -> Option<Word> {
     let now = on.now();
     let mut held = on.voter.borrow_mut();
     let Voter { agreement, promises, lists, .. } = held.as_mut()?;
@@ -618,8 +629,7 @@
 }
 
 /// A voter's own time.
-async fn vote(s: Rc<Scheduler>) {
-    let Some(on) = &s.tier.0 else { return };
+async fn vote(on: Rc<On>) {
     let mut ticks = tokio::time::interval(Duration::from_nanos(TICK));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -635,24 +645,24 @@
                 leader => on.put(leader as usize - 1, Word::Ready(version)),
             }
         }
-        turn(on, &mut held);
+        turn(&on, &mut held);
     }
 }
 
 // ---- the lease
 
 /// Renews the lease for as long as the program runs, and sees when it has ended.
-async fn renew(s: Rc<Scheduler>) {
-    let Some(on) = &s.tier.0 else { return };
+async fn renew(on: Rc<On>, around: Rc<dyn Application>) {
+    let (on, around) = (&*on, &*around);
     let pause = Duration::from_nanos(on.timing.renew);
     let mut turn = 0;
     // Schedulers that start in the same moment do not ask in the same moments ever after.
     tokio::time::sleep(pause.mul_f64(random().unwrap_or(0) as f64 / u64::MAX as f64)).await;
     loop {
-        look(&s, on);
-        discovery::forget_hearsay(&s);
-        ask(&s, on);
-        settle(&s, on, turn);
+        look(on, around);
+        around.forget_leaving();
+        ask(on, around);
+        settle(on, around, turn);
         turn += 1;
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -662,16 +672,16 @@
 }
 
 /// Asks all voters.
-fn ask(s: &Rc<Scheduler>, on: &On) {
+fn ask(on: &On, around: &dyn Application) {
     let (number, acting) = on.holder.borrow_mut().ask(on.now());
     let index = on.holder.borrow().seen().index;
     for voter in 0..on.boxes.len() {
-        let word = Word::Ask { number, acting, index, list: s.group.mine(s.clock.now()) };
+        let word = Word::Ask { number, acting, index, list: around.list() };
         if on.number == Some(voter as u64 + 1) {
             let who = (on.name.clone(), on.process);
-            if let Some(Word::Answer { number, yes, news, lists }) = voter_hears(s, &who, on.number, word) {
-                answered(s, voter, number, yes, news.map(|n| *n));
-                compare(s, &lists);
+            if let Some(Word::Answer { number, yes, news, lists }) = voter_hears(on, &who, on.number, word) {
+                answered(on, around, voter, number, yes, news.map(|n| *n));
+                compare(on, around, &lists);
             }
         } else {
             on.put(voter, word);
@@ -679,23 +689,21 @@
     }
 }
 
-fn answered(s: &Rc<Scheduler>, voter: usize, number: u64, yes: bool, news: Option<State>) {
-    let Some(on) = &s.tier.0 else { return };
+fn answered(on: &On, around: &dyn Application, voter: usize, number: u64, yes: bool, news: Option<State>) {
     let changed = on.holder.borrow_mut().answer(on.now(), voter, number, yes, news);
     if changed {
-        put_in_force(s, on);
+        put_in_force(on, around);
         on.hurry.notify_one();
     }
-    look(s, on);
+    look(on, around);
 }
 
 /// What other schedulers have been told of the workers: whoever is behind asks discovery, and takes their word for a drain.
-fn compare(s: &Rc<Scheduler>, theirs: &Theirs) {
-    let Some(on) = &s.tier.0 else { return };
-    let (now, mine) = (s.clock.now(), s.group.mine(s.clock.now()).version);
+fn compare(on: &On, around: &dyn Application, theirs: &Theirs) {
+    let (now, mine) = (on.now(), around.list().version);
     on.lists.set((theirs.newest, theirs.oldest));
     for leaving in &theirs.leaving {
-        if discovery::hearsay(s, &leaving.host, leaving.born_ms) {
+        if around.leaving(leaving) {
             more(&on.counts.hearsay);
         }
     }
@@ -706,12 +714,12 @@
     if now >= on.behind.get() + BEHIND {
         on.behind.set(now);
         more(&on.counts.asked_again);
-        s.group.ask_anew();
+        around.ask_list_anew();
     }
 }
 
 /// Sees whether the lease has ended or begun since the last look.
-fn look(s: &Rc<Scheduler>, on: &On) {
+fn look(on: &On, around: &dyn Application) {
     let holds = on.holds();
     if on.held.replace(holds) == holds {
         return;
@@ -724,16 +732,16 @@
         tracing::warn!("tier: the lease has ended: no majority of the voters answers");
     }
     if on.spec.on_lapse == OnLapse::Strict {
-        enforce(s, on, holds);
+        enforce(on, around, holds);
     }
 }
 
 /// Puts in force what this scheduler acts on from now on. Another act on what was before is not possible meanwhile, as
 /// all is done on one thread.
-fn put_in_force(s: &Rc<Scheduler>, on: &On) {
+fn put_in_force(on: &On, around: &dyn Application) {
     let acting = on.holder.borrow().acting();
     let holds = on.holder.borrow().may_act(on.now());
-    enforce(s, on, holds || on.spec.on_lapse == OnLapse::Leave);
+    enforce(on, around, holds || on.spec.on_lapse == OnLapse::Leave);
     on.applied.set(acting);
     if let Some(acting) = acting {
         on.log(Did::Takes(acting));
@@ -741,11 +749,10 @@
     }
 }
 
-fn enforce(s: &Rc<Scheduler>, on: &On, agreed: bool) {
+fn enforce(on: &On, around: &dyn Application, agreed: bool) {
     let Some(body) = on.holder.borrow().body() else { return };
     let body = if agreed { body } else { rules::careful(&body) };
-    let done = s.config.with_settings(body.settings_for(&s.config.settings()));
-    match done.and_then(|fresh: Fresh| reload::put_in_force(s, fresh)) {
+    match around.put_in_force(body.settings_for(&around.settings())) {
         Ok(()) => {
             on.careful.set(!agreed);
             *on.fault.borrow_mut() = None;
@@ -757,17 +764,17 @@
     }
     let before = on.out.replace(body.out.clone());
     for host in before.symmetric_difference(&body.out) {
-        control::agreed(s, host, body.out.contains(host));
+        around.order(host, body.out.contains(host));
     }
 }
 
 // ---- proposals
 
 /// Sends this scheduler's proposals again until their outcome is known; proposes its own file where there is nothing yet.
-fn settle(s: &Rc<Scheduler>, on: &On, turn: usize) {
+fn settle(on: &On, around: &dyn Application, turn: usize) {
     let empty = on.holder.borrow().seen().newest() == 0;
     if empty && on.proposals.borrow().is_empty() {
-        let body = Body::of(&s.config.settings(), BTreeSet::new());
+        let body = Body::of(&around.settings(), BTreeSet::new());
         propose(on, 0, body);
     }
     let seen = on.holder.borrow();
@@ -779,7 +786,7 @@
     let voter = turn % on.boxes.len();
     for command in waiting {
         if on.number == Some(voter as u64 + 1) {
-            voter_hears(s, &(on.name.clone(), on.process), on.number, Word::Propose(command));
+            voter_hears(on, &(on.name.clone(), on.process), on.number, Word::Propose(command));
         } else {
             on.put(voter, Word::Propose(command));
         }
@@ -847,15 +854,20 @@
 }
 
 /// Staff propose settings at the second address.
-pub async fn proposed(s: &Rc<Scheduler>, text: &[u8], base: Option<Version>) -> (u16, Value) {
-    let Some(on) = &s.tier.0 else { return (404, Value::Null) };
+pub async fn proposed(
+    tier: &Tier,
+    around: &dyn Application,
+    text: &[u8],
+    base: Option<Version>,
+) -> (u16, Value) {
+    let Some(on) = &tier.0 else { return (404, Value::Null) };
     let settings: Value = match serde_json::from_slice(text) {
         Ok(settings) => settings,
         Err(e) => return (400, json!({"yes": false, "why": format!("settings: {e}")})),
     };
     // A file is turned down whole before anybody hears of it.
-    let whole = Body::of(&settings, BTreeSet::new()).settings_for(&s.config.settings());
-    if let Err(e) = s.config.with_settings(whole) {
+    let whole = Body::of(&settings, BTreeSet::new()).settings_for(&around.settings());
+    if let Err(e) = around.check(whole) {
         return (400, json!({"yes": false, "why": e}));
     }
     let (out, newest) =
@@ -868,11 +880,11 @@
 }
 
 /// Staff order a worker out or back at the second address: it is so everywhere, or the call says that it is not yet.
-pub async fn order(s: &Rc<Scheduler>, host: &str, out: bool) -> (u16, Value) {
-    let Some(on) = &s.tier.0 else { return (404, Value::Null) };
+pub async fn order(tier: &Tier, around: &dyn Application, host: &str, out: bool) -> (u16, Value) {
+    let Some(on) = &tier.0 else { return (404, Value::Null) };
     if out {
         // Nobody is harmed by fewer workers: here it is out at once.
-        control::agreed(s, host, true);
+        around.order(host, true);
         on.out.borrow_mut().insert(host.into());
     }
     let end = tokio::time::Instant::now() + CALL;
@@ -895,23 +907,9 @@
     }
 }
 
-/// A file that SIGHUP had read is proposed to the tier; what comes of it is logged.
-pub fn propose_settings(s: &Rc<Scheduler>, settings: &Value) {
-    let (s, text) = (Rc::clone(s), settings.to_string());
-    spawn_local(async move {
-        let (status, said) = proposed(&s, text.as_bytes(), None).await;
-        if status < 300 {
-            tracing::info!("configuration proposed to the tier: {said}");
-        } else {
-            s.book.borrow_mut().counters.reload_faults += 1;
-            tracing::error!("configuration: refused by the tier: {said}");
-        }
-    });
-}
-
 /// What staff see of the tier.
-pub fn state(s: &Scheduler) -> Value {
-    let Some(on) = &s.tier.0 else { return Value::Null };
+pub fn state(tier: &Tier, around: &dyn Application) -> Value {
+    let Some(on) = &tier.0 else { return Value::Null };
     let (holder, voter) = (on.holder.borrow(), on.voter.borrow());
     let seen = holder.seen();
     let left = holder.until().unwrap_or(0).saturating_sub(on.now());
@@ -925,13 +923,13 @@
             "broken": v.agreement.broken(), "promises_to": holders})
     });
     json!({
-        "yes": true, "name": on.name, "acting": on.applied.get(), "may_act": s.tier.may_act(),
+        "yes": true, "name": on.name, "acting": on.applied.get(), "may_act": tier.may_act(),
         "lease_left_s": left as f64 / 1e9, "fault": *on.fault.borrow(),
         "version": seen.active.as_ref().map(|d| d.version), "by": seen.active.as_ref().map(|d| &d.by),
         "coming": seen.coming.as_ref().map(|d| d.version), "workers_out": *on.out.borrow(),
         "settings": seen.active.as_ref().map(|d| &d.body.settings),
         "history": seen.history, "voter": vote,
-        "lists": {"mine": s.group.mine(s.clock.now()).version, "newest": on.lists.get().0, "oldest": on.lists.get().1},
+        "lists": {"mine": around.list().version, "newest": on.lists.get().0, "oldest": on.lists.get().1},
         "counts": {"lapses": on.counts.lapses.get(), "words_pushed_out": on.counts.crowded.get(),
             "link_faults": on.counts.faults.get(), "links": on.counts.links.get(),
             "history_unwritten": on.counts.unwritten.get(), "drains_by_hearsay": on.counts.hearsay.get(),
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,7 +2,7 @@
 
 use loomlb_keys::{Fault, line_of};
 use loomlb_quota::Spec;
-use loomlb_scheduler::tier::Spec as Tier;
+use loomlb_tier::Spec as Tier;
 use serde::Deserialize;
 use std::fmt;
 use std::path::Path;
