--- /dev/null
+++ b/crates/tier/src/lease.rs
@@ -0,0 +1,140 @@
+//! The lease: asked for again and again, and what it lets this process act on.
+
+use crate::proposals::settle;
+use crate::voter::voter_hears;
+use crate::{Application, LOOK, On, OnLapse, more, random};
+use loomlb_accord::Nanos;
+use loomlb_accord::check::Event as Did;
+use loomlb_accord::frames::Word;
+use loomlb_accord::lists::Theirs;
+use loomlb_accord::rules;
+use loomlb_accord::state::State;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A list that is behind another scheduler's for so long is asked for anew, in nanoseconds.
+const BEHIND: Nanos = 1_500_000_000;
+
+/// Renews the lease for as long as the program runs, and sees when it has ended.
+pub(crate) async fn renew(on: Rc<On>, around: Rc<dyn Application>) {
+    let (on, around) = (&*on, &*around);
+    let pause = Duration::from_nanos(on.timing.renew);
+    let mut turn = 0;
+    // Schedulers that start in the same moment do not ask in the same moments ever after.
+    tokio::time::sleep(pause.mul_f64(random().unwrap_or(0) as f64 / u64::MAX as f64)).await;
+    loop {
+        look(on, around);
+        around.forget_leaving();
+        ask(on, around);
+        settle(on, around, turn);
+        turn += 1;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = on.hurry.notified() => tokio::time::sleep(LOOK).await,
+        }
+    }
+}
+
+/// Asks all voters.
+fn ask(on: &On, around: &dyn Application) {
+    let (number, acting) = on.holder.borrow_mut().ask(on.now());
+    let index = on.holder.borrow().seen().index;
+    for voter in 0..on.boxes.len() {
+        let word = Word::Ask { number, acting, index, list: around.list() };
+        if on.number == Some(voter as u64 + 1) {
+            let who = (on.name.clone(), on.process);
+            if let Some(Word::Answer { number, yes, news, lists }) = voter_hears(on, &who, on.number, word) {
+                answered(on, around, voter, number, yes, news.map(|n| *n));
+                compare(on, around, &lists);
+            }
+        } else {
+            on.put(voter, word);
+        }
+    }
+}
+
+pub(crate) fn answered(
+    on: &On,
+    around: &dyn Application,
+    voter: usize,
+    number: u64,
+    yes: bool,
+    news: Option<State>,
+) {
+    let changed = on.holder.borrow_mut().answer(on.now(), voter, number, yes, news);
+    if changed {
+        put_in_force(on, around);
+        on.hurry.notify_one();
+    }
+    look(on, around);
+}
+
+/// What other schedulers have been told of the workers: whoever is behind asks discovery, and takes their word for a drain.
+pub(crate) fn compare(on: &On, around: &dyn Application, theirs: &Theirs) {
+    let (now, mine) = (on.now(), around.list().version);
+    on.lists.set((theirs.newest, theirs.oldest));
+    for leaving in &theirs.leaving {
+        if around.leaving(leaving) {
+            more(&on.counts.hearsay);
+        }
+    }
+    if mine >= theirs.newest {
+        return on.behind.set(now);
+    }
+    // News is on its way for a while; what does not come by itself is asked for, and not again and again.
+    if now >= on.behind.get() + BEHIND {
+        on.behind.set(now);
+        more(&on.counts.asked_again);
+        around.ask_list_anew();
+    }
+}
+
+/// Sees whether the lease has ended or begun since the last look.
+fn look(on: &On, around: &dyn Application) {
+    let holds = on.holds();
+    if on.held.replace(holds) == holds {
+        return;
+    }
+    on.log(if holds { Did::Renewed } else { Did::Lapsed });
+    if holds {
+        tracing::info!("tier: a lease on {:?}", on.applied.get());
+    } else {
+        more(&on.counts.lapses);
+        tracing::warn!("tier: the lease has ended: no majority of the voters answers");
+    }
+    if on.spec.on_lapse == OnLapse::Strict {
+        enforce(on, around, holds);
+    }
+}
+
+/// Puts in force what this scheduler acts on from now on. Another act on what was before is not possible meanwhile, as
+/// all is done on one thread.
+fn put_in_force(on: &On, around: &dyn Application) {
+    let acting = on.holder.borrow().acting();
+    let holds = on.holder.borrow().may_act(on.now());
+    enforce(on, around, holds || on.spec.on_lapse == OnLapse::Leave);
+    on.applied.set(acting);
+    if let Some(acting) = acting {
+        on.log(Did::Takes(acting));
+        tracing::info!("tier: takes {acting:?}");
+    }
+}
+
+fn enforce(on: &On, around: &dyn Application, agreed: bool) {
+    let Some(body) = on.holder.borrow().body() else { return };
+    let body = if agreed { body } else { rules::careful(&body) };
+    match around.put_in_force(body.settings_for(&around.settings())) {
+        Ok(()) => {
+            on.careful.set(!agreed);
+            *on.fault.borrow_mut() = None;
+        }
+        Err(e) => {
+            tracing::error!("tier: what was agreed cannot be read by this build: {e}; out of service");
+            *on.fault.borrow_mut() = Some(e);
+        }
+    }
+    let before = on.out.replace(body.out.clone());
+    for host in before.symmetric_difference(&body.out) {
+        around.order(host, body.out.contains(host));
+    }
+}
--- /dev/null
+++ b/crates/tier/src/link.rs
@@ -0,0 +1,160 @@
+//! Links: each scheduler keeps one to every voter, opened anew when it breaks; a voter accepts them.
+
+use crate::lease::{answered, compare};
+use crate::spec::VoterAt;
+use crate::voter::voter_hears;
+use crate::{Application, On, more};
+use loomlb_accord::frames::{self, Channel, FIRST, FORMAT, Nonce, Word};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Words that wait for a link; more push out the oldest, which is asked or said again anyway.
+pub(crate) const WAITING: usize = 256;
+/// Links that a voter holds.
+const LINKS: usize = 4096;
+/// A link on which nothing comes for so long is opened anew, and a greeting takes no longer.
+const SILENT: Duration = Duration::from_secs(2);
+/// Pause before another try to open a link.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Words on their way to a voter.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    pub(crate) words: RefCell<VecDeque<Word>>,
+    pub(crate) more: Notify,
+}
+
+/// The numbers that both ends say first.
+async fn greet(stream: &mut TcpStream) -> io::Result<(Nonce, Nonce)> {
+    stream.set_nodelay(true)?;
+    let mut mine = Nonce::default();
+    getrandom::fill(&mut mine).map_err(io::Error::other)?;
+    stream.write_all(&frames::greeting(&mine)).await?;
+    let mut first = [0; FIRST];
+    stream.read_exact(&mut first).await?;
+    let theirs = frames::greeted(&first).map_err(|e| io::Error::other(e.to_string()))?;
+    Ok((mine, theirs))
+}
+
+/// The next word of a link; an error once it is over.
+async fn next(from: &mut OwnedReadHalf, channel: &mut Channel, bytes: &mut Vec<u8>) -> io::Result<Word> {
+    loop {
+        if let Some(word) = channel.open(bytes).map_err(|e| io::Error::other(e.to_string()))? {
+            return Ok(word);
+        }
+        let heard = tokio::time::timeout(SILENT, from.read_buf(bytes)).await;
+        match heard.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => continue,
+        }
+    }
+}
+
+/// Keeps a link to a voter open for as long as the program runs.
+pub(crate) async fn link(on: Rc<On>, around: Rc<dyn Application>, voter: usize) {
+    loop {
+        let VoterAt { name, at } = &on.spec.voters[voter];
+        let opened = tokio::time::timeout(SILENT, async {
+            let mut stream = TcpStream::connect(at).await?;
+            let (mine, theirs) = greet(&mut stream).await?;
+            Ok::<_, io::Error>((stream, frames::channels(&on.spec.key, &mine, &theirs)))
+        });
+        if let Ok(Ok((stream, (to, from)))) = opened.await {
+            // What waited for the link that broke is asked anew, or too old to be of use.
+            on.boxes[voter].words.borrow_mut().clear();
+            let (read, write) = stream.into_split();
+            on.hurry.notify_one();
+            let ended = tokio::select! {
+                ended = hear_voter(&on, &*around, voter, read, from) => ended,
+                ended = tell_voter(&on, voter, write, to) => ended,
+            };
+            if let Err(e) = ended {
+                more(&on.counts.faults);
+                tracing::debug!("tier: the link to {name} at {at}: {e}");
+            }
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+async fn hear_voter(
+    on: &On,
+    around: &dyn Application,
+    voter: usize,
+    mut from: OwnedReadHalf,
+    mut channel: Channel,
+) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    loop {
+        if let Word::Answer { number, yes, news, lists } = next(&mut from, &mut channel, &mut bytes).await? {
+            answered(on, around, voter, number, yes, news.map(|n| *n));
+            compare(on, around, &lists);
+        }
+    }
+}
+
+async fn tell_voter(on: &On, voter: usize, mut to: OwnedWriteHalf, mut channel: Channel) -> io::Result<()> {
+    let hello = Word::Hello { format: FORMAT, name: on.name.clone(), process: on.process, voter: on.number };
+    to.write_all(&channel.seal(&hello)).await?;
+    loop {
+        let word = on.boxes[voter].words.borrow_mut().pop_front();
+        match word {
+            Some(word) => to.write_all(&channel.seal(&word)).await?,
+            None => on.boxes[voter].more.notified().await,
+        }
+    }
+}
+
+/// Accepts links at a voter for as long as the program runs.
+pub(crate) async fn accept(on: Rc<On>, listener: TcpListener) {
+    loop {
+        let accepted = listener.accept().await;
+        let Some((stream, from)) = accepted.ok().filter(|_| on.counts.links.get() < LINKS) else {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        };
+        let on = Rc::clone(&on);
+        spawn_local(async move {
+            on.counts.links.set(on.counts.links.get() + 1);
+            if let Err(e) = called(&on, stream).await
+                && e.kind() == io::ErrorKind::Other
+            {
+                more(&on.counts.faults);
+                tracing::warn!("tier: {from}: {e}");
+            }
+            on.counts.links.set(on.counts.links.get() - 1);
+        });
+    }
+}
+
+/// A link that another scheduler has opened to this voter.
+async fn called(on: &On, mut stream: TcpStream) -> io::Result<()> {
+    let greeted = tokio::time::timeout(SILENT, greet(&mut stream)).await;
+    let (mine, theirs) = greeted.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let (mut from, mut to) = frames::channels(&on.spec.key, &theirs, &mine);
+    let (mut read, mut write) = stream.into_split();
+    let mut bytes = Vec::new();
+    let (name, process, voter) = match next(&mut read, &mut from, &mut bytes).await? {
+        Word::Hello { format: FORMAT, name, process, voter } => (name, process, voter),
+        Word::Hello { format, name, .. } => {
+            return Err(io::Error::other(format!("{name} speaks format {format}, this build {FORMAT}")));
+        }
+        _ => return Err(io::Error::other("it does not say who it is")),
+    };
+    let who = (name, process);
+    loop {
+        let word = next(&mut read, &mut from, &mut bytes).await?;
+        if let Some(reply) = voter_hears(on, &who, voter, word) {
+            let written = tokio::time::timeout(SILENT, write.write_all(&to.seal(&reply))).await;
+            written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tier/src/proposals.rs
@@ -0,0 +1,153 @@
+//! Proposals: sent again until their outcome is known, and what staff are told of it.
+
+use crate::voter::voter_hears;
+use crate::{Application, LOOK, On, Tier, random};
+use loomlb_accord::Version;
+use loomlb_accord::frames::Word;
+use loomlb_accord::rules::Body;
+use loomlb_accord::state::{Command, Outcome};
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A call at the second address waits so long for its version to be in force.
+const CALL: Duration = Duration::from_millis(900);
+/// Proposals of this scheduler that wait for their outcome.
+const PROPOSALS: usize = 64;
+
+/// Sends this scheduler's proposals again until their outcome is known; proposes its own file where there is nothing yet.
+pub(crate) fn settle(on: &On, around: &dyn Application, turn: usize) {
+    let empty = on.holder.borrow().seen().newest() == 0;
+    if empty && on.proposals.borrow().is_empty() {
+        let body = Body::of(&around.settings(), BTreeSet::new());
+        propose(on, 0, body);
+    }
+    let seen = on.holder.borrow();
+    let mut proposals = on.proposals.borrow_mut();
+    proposals.retain(|token, _| seen.seen().outcome(*token).is_none());
+    drop(seen);
+    let waiting: Vec<Command> = proposals.values().cloned().collect();
+    drop(proposals);
+    let voter = turn % on.boxes.len();
+    for command in waiting {
+        if on.number == Some(voter as u64 + 1) {
+            voter_hears(on, &(on.name.clone(), on.process), on.number, Word::Propose(command));
+        } else {
+            on.put(voter, Word::Propose(command));
+        }
+    }
+}
+
+/// Proposes a document; its token.
+fn propose(on: &On, base: Version, body: Body) -> Option<u64> {
+    let token = random().ok()?;
+    let mut proposals = on.proposals.borrow_mut();
+    if proposals.len() >= PROPOSALS {
+        return None;
+    }
+    proposals.insert(token, Command::Propose { token, by: on.name.clone(), base, body });
+    on.hurry.notify_one();
+    Some(token)
+}
+
+/// What has become of a proposal, and whether its version is in force here, within a call's time.
+async fn outcome(on: &On, token: u64) -> Option<(Outcome, bool)> {
+    let end = tokio::time::Instant::now() + CALL;
+    loop {
+        let (known, active) =
+            on.seen(|seen| (seen.outcome(token).cloned(), seen.active.as_ref().map_or(0, |d| d.version)));
+        let over = tokio::time::Instant::now() >= end;
+        match known {
+            Some(Outcome::Agreed(version)) if version > active && !over => {}
+            Some(Outcome::Agreed(version)) => return Some((Outcome::Agreed(version), version <= active)),
+            Some(other) => return Some((other, true)),
+            None if over => {
+                on.proposals.borrow_mut().remove(&token);
+                return None;
+            }
+            None => {}
+        }
+        on.hurry.notify_one();
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// The status and the words for what has become of a proposal.
+fn reply(found: Option<(Outcome, bool)>) -> (u16, Value) {
+    match found {
+        Some((Outcome::Agreed(version), true)) => {
+            (200, json!({"yes": true, "version": version, "in_force": true}))
+        }
+        Some((Outcome::Agreed(version), false)) => {
+            (202, json!({"yes": true, "version": version, "in_force": false}))
+        }
+        Some((Outcome::Same(version), _)) => {
+            (200, json!({"yes": true, "version": version, "in_force": true, "why": "it says the same"}))
+        }
+        Some((Outcome::Missed(version), _)) => (
+            409,
+            json!({"yes": false, "version": version, "why": format!("version {version} came before it, or is coming")}),
+        ),
+        Some((Outcome::Unordered(keys), _)) => (
+            422,
+            json!({"yes": false, "keys": keys, "why": "these keys cannot change while the tier runs: restart it with them"}),
+        ),
+        None => {
+            (503, json!({"yes": false, "why": "no majority of the voters has agreed in time; it may yet"}))
+        }
+    }
+}
+
+/// Staff propose settings at the second address.
+pub async fn proposed(
+    tier: &Tier,
+    around: &dyn Application,
+    text: &[u8],
+    base: Option<Version>,
+) -> (u16, Value) {
+    let Some(on) = &tier.0 else { return (404, Value::Null) };
+    let settings: Value = match serde_json::from_slice(text) {
+        Ok(settings) => settings,
+        Err(e) => return (400, json!({"yes": false, "why": format!("settings: {e}")})),
+    };
+    // A file is turned down whole before anybody hears of it.
+    let whole = Body::of(&settings, BTreeSet::new()).settings_for(&around.settings());
+    if let Err(e) = around.check(whole) {
+        return (400, json!({"yes": false, "why": e}));
+    }
+    let (out, newest) =
+        on.seen(|seen| (seen.latest().map(|d| d.body.out.clone()).unwrap_or_default(), seen.newest()));
+    let base = base.unwrap_or(newest);
+    match propose(on, base, Body::of(&settings, out)) {
+        Some(token) => reply(outcome(on, token).await),
+        None => (503, json!({"yes": false, "why": "too many proposals wait"})),
+    }
+}
+
+/// Staff order a worker out or back at the second address: it is so everywhere, or the call says that it is not yet.
+pub async fn order(tier: &Tier, around: &dyn Application, host: &str, out: bool) -> (u16, Value) {
+    let Some(on) = &tier.0 else { return (404, Value::Null) };
+    if out {
+        // Nobody is harmed by fewer workers: here it is out at once.
+        around.order(host, true);
+        on.out.borrow_mut().insert(host.into());
+    }
+    let end = tokio::time::Instant::now() + CALL;
+    loop {
+        let latest = on.seen(|seen| seen.latest().cloned());
+        let Some(mut latest) = latest else { return reply(None) };
+        let base = latest.version;
+        let changes = if out { latest.body.out.insert(host.into()) } else { latest.body.out.remove(host) };
+        let found = match changes.then(|| propose(on, base, latest.body)) {
+            None => Some((Outcome::Same(base), true)),
+            Some(None) => None,
+            Some(Some(token)) => outcome(on, token).await,
+        };
+        match found {
+            Some((Outcome::Missed(_), _)) if tokio::time::Instant::now() < end => {
+                tokio::time::sleep(LOOK).await
+            }
+            found => return reply(found),
+        }
+    }
+}
