loomlb-capacity: slopes fitted to points, where they bend, and what a workload costs

The targets of the operators lie beyond what runs here, so costs have to follow from measured slopes. Fits flat, line, power or lines that meet by relative residuals; says at which size a budget is met and what is extrapolated; reports are JSON whose faults are named by key; predict has a formula for each cost, absent where a series is missing.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,6 +3,10 @@
 
 #![forbid(unsafe_code)]
 
+pub mod fit;
+pub mod predict;
+pub mod report;
+
 use serde::{Deserialize, Serialize};
 
 /// How a figure came about.
@@ -39,6 +43,9 @@
     pub by: String,
     /// How the values came about.
     pub source: Source,
+    /// What the figures were taken under, or how they were reasoned.
+    #[serde(default)]
+    pub note: String,
     /// From the smallest size on.
     pub points: Vec<Point>,
 }
