--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,8 +3,11 @@
 
 #![forbid(unsafe_code)]
 
+pub mod fit;
 pub mod page;
 pub mod plan;
+pub mod predict;
+pub mod report;
 
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +45,9 @@
     pub by: String,
     /// How the values came about.
     pub source: Source,
+    /// What the figures were taken under, or how they were reasoned.
+    #[serde(default)]
+    pub note: String,
     /// From the smallest size on.
     pub points: Vec<Point>,
 }
