--- a/crates/capacity/src/plan.rs
+++ b/crates/capacity/src/plan.rs
@@ -1,7 +1,8 @@
 //! The target: what each role's costs come to at named sizes, and which of the target's limits breaks first. Pure: the
 //! plan's words come from a file, its figures from whoever has measured.
 
-use crate::Source;
+use crate::report::Report;
+use crate::{Source, fit, page};
 use serde::{Deserialize, Serialize};
 
 /// Where figures come from.
@@ -76,9 +77,6 @@
     pub unit: String,
     /// The size at the target.
     pub target: f64,
-    /// The size at which it breaks is divided by this to be shown, and the target too.
-    #[serde(default = "one")]
-    pub per: f64,
     /// How the size at which it breaks is known.
     pub breaks: Breaks,
     /// Whether other things of the target are built on what is missing here.
@@ -192,7 +190,6 @@
         }
         for limit in &self.limits {
             sound(&limit.key, limit.target)?;
-            sound(&limit.key, limit.per)?;
             match &limit.breaks {
                 Breaks::Budget { budget, .. } => sound(&limit.key, *budget)?,
                 Breaks::Constant { value, each, .. } => {
@@ -233,7 +230,7 @@
                 Breaks::Absent => Some(0.0),
             };
             let ratio = at.map(|at| at / limit.target);
-            limits.push(Ranked { limit: limit.clone(), at: at.map(|at| at / limit.per), ratio });
+            limits.push(Ranked { limit: limit.clone(), at, ratio });
         }
         limits.sort_by(|a, b| {
             let of = |r: &Ranked| r.ratio.unwrap_or(f64::INFINITY);
@@ -249,3 +246,64 @@
         self.limits.iter().find(|l| l.limit.blocks && l.ratio.is_some_and(|ratio| ratio < 1.0))
     }
 }
+
+impl Measured for Report {
+    fn figure(&self, series: &str, size: f64) -> Option<Figure> {
+        let fitted = self.get(series)?;
+        let value = fitted.fit.at(size)?;
+        Some(Figure { value, source: fitted.series.source, beyond: fitted.fit.extrapolated(size) })
+    }
+
+    fn breaks_at(&self, series: &str, budget: f64) -> Option<f64> {
+        fit::breaks_at(&self.get(series)?.fit, budget)
+    }
+
+    fn most(&self, series: &str) -> Option<f64> {
+        let points = &self.get(series)?.series.points;
+        points.iter().map(|point| fit::median(&point.values)).max_by(f64::total_cmp)
+    }
+}
+
+/// The table of costs in Markdown, each figure a link into `file`, which holds this plan as JSON.
+pub fn roles(planned: &Planned, file: &str) -> String {
+    let mut out = "| role | what | unit | today | target | three times | carried by |\n".to_string();
+    out += "| --- | --- | --- | --- | --- | --- | --- |\n";
+    for Costed { row, figures } in &planned.rows {
+        let cell = |(at, figure): (usize, &Option<Figure>)| match figure {
+            None => "not known".to_string(),
+            Some(f) => {
+                let mark = match (f.source, f.beyond) {
+                    (Source::Estimated, _) => " (e)",
+                    (_, true) => " (*)",
+                    _ => "",
+                };
+                let way = format!("/rows/key={}/figures/{at}/value", row.key);
+                format!("[{}]({file}#{way}){mark}", page::rounded(f.value))
+            }
+        };
+        let [today, target, thrice] = [0, 1, 2].map(|at| cell((at, &figures[at])));
+        let Row { role, cost, unit, carried_by, .. } = row;
+        out += &format!("| {role} | {cost} | {unit} | {today} | {target} | {thrice} | {carried_by} |\n");
+    }
+    out
+}
+
+/// The ranking in Markdown, each figure a link into `file`, which holds this plan as JSON.
+pub fn ranking(planned: &Planned, file: &str) -> String {
+    let mut out =
+        "| limit | unit | breaks at | target | ratio | other things are built on it | carried by |\n"
+            .to_string();
+    out += "| --- | --- | --- | --- | --- | --- | --- |\n";
+    for Ranked { limit, at, ratio } in &planned.limits {
+        let link = |figure: Option<f64>, name: &str| match figure {
+            Some(value) => format!("[{}]({file}#/limits/key={}/{name})", page::rounded(value), limit.key),
+            None => "not measured".into(),
+        };
+        let (at, target, ratio) =
+            (link(*at, "at"), link(Some(limit.target), "target"), link(*ratio, "ratio"));
+        let blocks = if limit.blocks { "yes" } else { "no" };
+        let Limit { what, unit, carried_by, .. } = limit;
+        out += &format!("| {what} | {unit} | {at} | {target} | {ratio} | {blocks} | {carried_by} |\n");
+    }
+    out
+}
