--- /dev/null
+++ b/crates/lab/src/capacity/voter.rs
@@ -0,0 +1,234 @@
+//! A voter: what schedulers ask of it, and what a version of the document costs it.
+//!
+//! - `voter.ask.time_by_schedulers`: a question opened, heard (list of workers and promise) and answered, sealed, at a voter
+//!   to which so many schedulers have promises, in turn. No news.
+//! - `voter.memory_by_schedulers`: live bytes of promises and lists of so many.
+//! - `voter.news.time_by_document`: the state copied into an answer, and sealed.
+//! - `voter.log.bytes_by_document`: bytes that a lone voter writes for a version that contradicts nothing, over 256 of them
+//!   with the two rewrites of the file that fall among them. One that contradicts adds an entry of some 60 bytes.
+//! - `voter.apply.time_by_document`: a version proposed, written to a file that takes no time, and applied, over the same
+//!   versions. The disk is not in it.
+//! - `voter.memory_by_document`: live bytes of the agreement after 250 versions, just before its log is cut.
+
+use super::meter::{self, Plan, live, point};
+use super::tier::{DOCUMENTS, answer, bytes, link, state};
+use crate::trial;
+use loomlb_accord::Acting;
+use loomlb_accord::agreement::Agreement;
+use loomlb_accord::disk::LogFile;
+use loomlb_accord::frames::Word;
+use loomlb_accord::lists::{Lists, Mine};
+use loomlb_accord::place::{Lasting, Place};
+use loomlb_accord::promises::{Process, Promises};
+use loomlb_accord::state::{Command, State};
+use loomlb_accord::timing::Terms;
+use loomlb_capacity::{Series, Source};
+use serde_json::json;
+use std::cell::Cell;
+use std::hint::black_box;
+use std::io;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Versions between two rewrites of the log.
+const CUT: u64 = 128;
+/// Versions before the log is cut for the first time.
+const FULL: u64 = 250;
+
+/// A file that counts what is written to it, and keeps nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Counted(Rc<Cell<u64>>);
+
+impl Counted {
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+impl Place for Counted {
+    fn name(&self) -> String {
+        "counted".into()
+    }
+    fn open(&self, _create: bool) -> io::Result<Box<dyn Lasting>> {
+        Ok(Box::new(self.clone()))
+    }
+}
+
+impl Lasting for Counted {
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        Ok(Vec::new())
+    }
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.set(self.0.get() + bytes.len() as u64);
+        Ok(bytes.len())
+    }
+    fn sync(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+    fn cut(&mut self, _length: u64) -> io::Result<()> {
+        Ok(())
+    }
+    fn swap(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write(bytes).map(|_| ())
+    }
+    fn sync_name(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// All series of a voter but those of its links.
+pub fn series(plan: &Plan) -> Result<Vec<Series>, String> {
+    let mut all = asks(plan)?;
+    all.extend(news(plan));
+    all.extend(versions(plan)?);
+    Ok(all)
+}
+
+/// What schedulers tell and ask of a voter.
+struct Asked {
+    promises: Promises,
+    lists: Lists,
+    seen: State,
+    now: u64,
+}
+
+impl Asked {
+    fn new(seen: &State) -> Result<Asked, String> {
+        let timing = Terms::default().derive().map_err(|(key, why)| format!("{key}: {why}"))?;
+        let (promises, lists) = (Promises::new(timing, 0), Lists::default());
+        Ok(Asked { promises, lists, seen: seen.clone(), now: 0 })
+    }
+
+    fn ask(&mut self, who: &Process, number: u64, acting: Acting, list: &Mine) -> Word {
+        self.lists.hear(self.now, who, list);
+        let yes = self.promises.ask(self.now, who, number, acting, &self.seen);
+        Word::Answer { number, yes, news: None, lists: self.lists.tell(self.now) }
+    }
+}
+
+fn asks(plan: &Plan) -> Result<Vec<Series>, String> {
+    let keys = ["voter.ask.time_by_schedulers", "voter.memory_by_schedulers"];
+    if !plan.wants_any(&keys) {
+        return Ok(Vec::new());
+    }
+    let mut time = meter::series(keys[0], "ns", "schedulers", Source::Timed, "a question and its answer");
+    let mut memory = meter::series(keys[1], "bytes", "schedulers", Source::Counted, "promises and lists");
+    let seen = state(69, 3);
+    let acting = Acting::On(seen.newest());
+    for n in plan.sizes(&[10usize, 30, 100, 300, 1_000, 3_000]) {
+        let all: Vec<Process> = (0..*n as u64).map(|i| (format!("s-{i:08x}"), i)).collect();
+        // The state that it knows is not the schedulers'.
+        let mut asked = Asked::new(&seen)?;
+        let ((), held) = live(|| {
+            all.iter().for_each(|who| _ = asked.ask(who, 0, acting, &Mine { version: 9, leaving: vec![] }));
+        });
+        point(&mut memory, *n as f64, vec![held]);
+        let (from, mut to) = link();
+        let (index, list) = (seen.index, Mine { version: 1_000_000, leaving: Vec::new() });
+        let sealed = from.clone().seal(&Word::Ask { number: 100_000, acting: Some(acting), index, list });
+        let mut number = 0;
+        let took = plan.time(|| {
+            number += 1;
+            asked.now += 250_000_000 / *n as u64;
+            let opened = from.clone().open(&mut sealed.clone());
+            if let Ok(Some(Word::Ask { list, .. })) = opened {
+                let answer = asked.ask(&all[number as usize % n], number, acting, &list);
+                black_box(to.seal(&answer));
+            }
+        });
+        point(&mut time, *n as f64, took);
+    }
+    Ok(vec![time, memory])
+}
+
+fn news(plan: &Plan) -> Option<Series> {
+    let (key, note) = ("voter.news.time_by_document", "with a full history");
+    let mut time = meter::series(key, "ns", "bytes of the document", Source::Timed, note);
+    if !plan.wants(key) {
+        return None;
+    }
+    for tenants in plan.sizes(&DOCUMENTS) {
+        let known = state(*tenants, 80);
+        let (mut to, _) = link();
+        point(&mut time, bytes(*tenants), plan.time(|| _ = black_box(to.seal(&answer(&known)))));
+    }
+    Some(time)
+}
+
+/// A lone voter, which agrees with itself.
+struct Lone {
+    agreement: Agreement,
+    log: LogFile,
+    version: u64,
+    tenants: usize,
+}
+
+impl Lone {
+    fn new(place: &Counted, tenants: usize) -> Result<Lone, String> {
+        let (mut log, loaded) = LogFile::open(place, "lone", true).map_err(|e| e.to_string())?;
+        let mut agreement = Agreement::new(1, 1, loaded).map_err(|e| e.to_string())?;
+        for _ in 0..30 {
+            agreement.tick();
+            agreement.turn(&mut log).map_err(|e| e.to_string())?;
+        }
+        Ok(Lone { agreement, log, version: 0, tenants })
+    }
+
+    /// The command that brings the next version: another pause between two acts, which contradicts nothing.
+    fn next(&self) -> Command {
+        let mut body = trial::document(1, self.tenants);
+        body.settings["tick"] = json!(1_000_000 + self.version);
+        Command::Propose { token: u64::MAX - self.version, by: "s-00000001".into(), base: self.version, body }
+    }
+
+    fn agree(&mut self, command: &Command) -> Result<(), String> {
+        self.agreement.propose(command);
+        self.agreement.turn(&mut self.log).map_err(|e| e.to_string())?;
+        self.version += 1;
+        if self.agreement.state().active.as_ref().map_or(0, |d| d.version) != self.version {
+            return Err(format!("version {} did not come into force at a lone voter", self.version));
+        }
+        Ok(())
+    }
+}
+
+fn versions(plan: &Plan) -> Result<Vec<Series>, String> {
+    let keys = ["voter.log.bytes_by_document", "voter.apply.time_by_document", "voter.memory_by_document"];
+    if !plan.wants_any(&keys) {
+        return Ok(Vec::new());
+    }
+    let size = "bytes of the document";
+    let note = "a version that contradicts nothing; 2 rewrites in 256 versions";
+    let mut log = meter::series(keys[0], "bytes/version", size, Source::Counted, note);
+    let note = "a version proposed and applied at a lone voter, without its disk";
+    let mut time = meter::series(keys[1], "ns", size, Source::Timed, note);
+    let note = "the agreement after 250 versions, just before its log is cut";
+    let mut memory = meter::series(keys[2], "bytes", size, Source::Counted, note);
+    for tenants in plan.sizes(&DOCUMENTS) {
+        let place = Counted::default();
+        let (lone, held) = live(|| -> Result<Lone, String> {
+            let mut lone = Lone::new(&place, *tenants)?;
+            for _ in 0..FULL {
+                lone.agree(&lone.next())?;
+            }
+            Ok(lone)
+        });
+        let mut lone = lone?;
+        point(&mut memory, bytes(*tenants), vec![held]);
+        let (before, mut times) = (place.written(), Vec::new());
+        for _ in 0..2 {
+            let mut passed = 0;
+            for _ in 0..CUT {
+                let command = lone.next();
+                let start = Instant::now();
+                lone.agree(&command)?;
+                passed += start.elapsed().as_nanos();
+            }
+            times.push(passed as f64 / CUT as f64);
+        }
+        point(&mut log, bytes(*tenants), vec![(place.written() - before) as f64 / (2 * CUT) as f64]);
+        point(&mut time, bytes(*tenants), times);
+    }
+    Ok(vec![log, time, memory])
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 pub mod baselines;
+pub mod capacity;
 pub mod days;
 pub mod processes;
 pub mod tables;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use loomlb_emulator::{Live, Options, Stop};
 use loomlb_lab::baselines::{Baseline, Idea};
 use loomlb_lab::processes::{self, Schedule};
-use loomlb_lab::{days, tables, trial};
+use loomlb_lab::{capacity, days, tables, trial};
 use loomlb_model::Day;
 use loomlb_model::simulate::{self, Decider};
 use rayon::prelude::*;
@@ -35,6 +35,8 @@
     Policies(Policies),
     /// Put a tier that agrees on its settings through faults: in virtual time, or with real processes.
     Trial(Trial),
+    /// Measure what each role costs by the size of the fleet, and fit the slopes.
+    Capacity(capacity::Options),
     /// List the days that ship.
     Days,
     /// The scheduler itself, as `loomlb` runs it; what `emulate` starts where no program is named.
@@ -449,6 +451,10 @@
         Command::Demo(args) => demo(&args),
         Command::Policies(args) => policies(&args),
         Command::Trial(args) => trials(&args),
+        Command::Capacity(args) => capacity::run(&args).and_then(|told| {
+            report(args.json, &told, || capacity::table(&told))?;
+            Ok(ExitCode::SUCCESS)
+        }),
         Command::Scheduler { args } => {
             return loomlb::run(std::iter::once(OsString::from("loomlb")).chain(args));
         }
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -5,7 +5,7 @@
 use loomlb_accord::agreement::{self, Agreement, TICK};
 use loomlb_accord::check::{Event as Did, Line, Verdict, judge};
 use loomlb_accord::disk::LogFile;
-use loomlb_accord::frames::Word;
+use loomlb_accord::frames::{self, Channel, Word};
 use loomlb_accord::holder::Holder;
 use loomlb_accord::lists::{Mine, Theirs};
 use loomlb_accord::place::Memory;
@@ -15,7 +15,7 @@
 use loomlb_accord::timing::{Terms, Timing};
 use loomlb_accord::{Acting, Nanos, Version};
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -58,6 +58,94 @@
     pub without: Without,
 }
 
+/// What a trial is put under beside its faults, where its costs are counted. The default is a trial's own.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Tenants in the document, beside its class: each adds [`TENANT`] bytes.
+    pub tenants: usize,
+    /// Those who propose are the last so many schedulers; none for any of them, and now and then two at once.
+    pub proposers: Option<usize>,
+    /// Before this time proposals come every 400 ms, so that what is remembered of earlier ones is full; then as often as
+    /// the trial says. What is counted is counted from then on.
+    pub warm: Nanos,
+    /// Nothing is proposed from some time before that.
+    pub still: bool,
+    /// Time between two acts of a scheduler that may act.
+    pub act: Nanos,
+    /// After the faults everything is whole for this long.
+    pub healed: Nanos,
+}
+
+impl Default for Load {
+    fn default() -> Load {
+        Load { tenants: 0, proposers: None, warm: 0, still: false, act: ACT, healed: HEALED }
+    }
+}
+
+/// Bytes that a tenant adds to a document.
+pub const TENANT: usize = 55;
+/// Time between two proposals while what is remembered of them fills.
+const WARM: Nanos = 400 * MS;
+
+/// So long before counting begins the last proposal is made, where nothing is to change any more.
+const SETTLED: Nanos = 3 * S;
+
+/// What went over the links of one scheduler, by the second.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Flow {
+    /// Bytes to it.
+    pub heard: f64,
+    /// Bytes from it.
+    pub sent: f64,
+    /// Words to it.
+    pub heard_words: f64,
+    /// Words from it.
+    pub sent_words: f64,
+}
+
+/// What was counted on the links, from [`Load::warm`] until the trial's part with proposals ends. Words are counted as
+/// they are sealed. What a voter's scheduler says to the voter itself goes over no link.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Traffic {
+    /// For how long it was counted.
+    pub seconds: f64,
+    /// A scheduler that does not vote, the mean of all.
+    pub scheduler: Flow,
+    /// A voter, the mean of all.
+    pub voter: Flow,
+    /// Bytes a second from one voter to the others: the agreement's messages and words that a voter is ready.
+    pub raft: f64,
+    /// Bytes a second of proposals, from all schedulers together.
+    pub proposals: f64,
+    /// Answers with news, a second, to a scheduler that does not vote.
+    pub news: f64,
+    /// Proposals that were to be made.
+    pub wanted: u64,
+    /// Those of them that were not made, as another of the same scheduler still waited.
+    pub waited: u64,
+    /// Those that missed another.
+    pub missed: u64,
+    /// Versions that came into force.
+    pub versions: u64,
+    /// Bytes of the newest document, as JSON.
+    pub document: usize,
+}
+
+/// Sums of what is counted.
+struct Count {
+    channel: Channel,
+    /// By node: bytes and words heard, and sent.
+    heard: Vec<[u64; 2]>,
+    sent: Vec<[u64; 2]>,
+    raft: u64,
+    proposals: u64,
+    news: u64,
+    wanted: u64,
+    waited: u64,
+    /// Proposals made since.
+    made: BTreeSet<u64>,
+}
+
 /// What a trial came to.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Told {
@@ -128,10 +216,23 @@
     words: u64,
     could: (u64, u64),
     healed: bool,
+    load: Load,
+    tenants: Vec<Value>,
+    count: Option<Count>,
 }
 
 /// Plays a trial; the same seed has the same end.
 pub fn play(trial: &Trial, seed: u64) -> Result<Told, String> {
+    Ok(played(trial, Load::default(), false, seed)?.told())
+}
+
+/// Plays a trial under a load and counts what goes over the links; the same seed has the same end.
+pub fn measure(trial: &Trial, load: &Load, seed: u64) -> Result<(Told, Traffic), String> {
+    let host = played(trial, load.clone(), true, seed)?;
+    Ok((host.told(), host.traffic()))
+}
+
+fn played(trial: &Trial, load: Load, counted: bool, seed: u64) -> Result<Host, String> {
     let timing = trial.terms.derive().map_err(|(key, why)| format!("{key}: {why}"))?;
     let mut host = Host {
         trial: trial.clone(),
@@ -153,9 +254,41 @@
         words: 0,
         could: (0, 0),
         healed: false,
+        tenants: (0..load.tenants).map(tenant).collect(),
+        load,
+        count: counted.then(|| Count::new(trial.schedulers)),
     };
     host.run()?;
-    Ok(host.told())
+    Ok(host)
+}
+
+/// An entry of [`TENANT`] bytes, with the comma before it.
+fn tenant(number: usize) -> Value {
+    json!({"name": format!("tenant-{number:06}"), "quota_rps": 12.5, "share": 0.25})
+}
+
+fn with_tenants(mut body: Body, tenants: &[Value]) -> Body {
+    if !tenants.is_empty() {
+        body.settings["tenants"] = Value::Array(tenants.to_vec());
+    }
+    body
+}
+
+/// The document of a number, from 0 to 59, with so many tenants.
+pub fn document(number: u64, tenants: usize) -> Body {
+    let tenants: Vec<Value> = (0..tenants).map(tenant).collect();
+    with_tenants(body(number), &tenants)
+}
+
+impl Count {
+    fn new(nodes: usize) -> Count {
+        // Of whatever key: it changes no length.
+        let (channel, _) = frames::channels("counted", &[0; 16], &[0; 16]);
+        let none = vec![[0; 2]; nodes];
+        let (raft, proposals, news, wanted, waited) = (0, 0, 0, 0, 0);
+        let made = BTreeSet::new();
+        Count { channel, heard: none.clone(), sent: none, raft, proposals, news, wanted, waited, made }
+    }
 }
 
 /// A document whose class and workers follow from a number.
@@ -221,7 +354,7 @@
         }
         let faults = self.trial.seconds * S;
         while let Some(Reverse((at, _, key))) = self.queue.pop() {
-            if at > faults + HEALED {
+            if at > faults + self.load.healed {
                 break;
             }
             self.now = at;
@@ -317,13 +450,17 @@
             }
             Due::Act(n, run) => {
                 self.act(n);
-                self.push(self.now + ACT, Due::Act(n, run));
+                self.push(self.now + self.load.act, Due::Act(n, run));
             }
             Due::Word(from, to, from_run, word) => self.hear(from, to, from_run, *word)?,
             Due::Propose => {
-                self.propose();
+                let warm = self.now < self.load.warm;
+                if !self.load.still || self.now + SETTLED < self.load.warm {
+                    self.propose();
+                }
                 if !self.healed {
-                    let span = self.trial.every / 2 + self.rng.u64(0..self.trial.every);
+                    let every = if warm { WARM } else { self.trial.every };
+                    let span = every / 2 + self.rng.u64(0..every);
                     self.push(self.now + span, Due::Propose);
                 }
             }
@@ -406,6 +543,7 @@
             return;
         }
         self.words += 1;
+        self.count(from, to, &word);
         let run = self.nodes[from].run;
         let copies = if self.loss > 0.0 && self.rng.f64() < 0.1 { 2 } else { 1 };
         for _ in 0..copies {
@@ -423,6 +561,22 @@
         }
     }
 
+    fn count(&mut self, from: usize, to: usize, word: &Word) {
+        let counted = from != to && !self.healed && self.now >= self.load.warm;
+        let Some(count) = self.count.as_mut().filter(|_| counted) else { return };
+        let bytes = count.channel.seal(word).len() as u64;
+        for (at, n) in [(&mut count.sent, from), (&mut count.heard, to)] {
+            at[n][0] += bytes;
+            at[n][1] += 1;
+        }
+        match word {
+            Word::Raft(_) | Word::Ready(_) => count.raft += bytes,
+            Word::Propose(_) => count.proposals += bytes,
+            Word::Answer { news: Some(_), .. } if to >= self.trial.voters => count.news += 1,
+            _ => {}
+        }
+    }
+
     fn renew(&mut self, n: usize) {
         let now = self.clock(n);
         let (number, acting) = self.nodes[n].holder.ask(now);
@@ -529,18 +683,46 @@
     }
 
     fn propose(&mut self) {
+        if let Some(proposers) = self.load.proposers {
+            return self.propose_under_load(proposers);
+        }
         let n = self.rng.usize(0..self.nodes.len());
         // Two at once now and then.
         let second = (self.rng.u8(0..4) == 0).then(|| self.rng.usize(0..self.nodes.len()));
         for n in [Some(n), second].into_iter().flatten() {
             let (token, number) = (self.rng.u64(..), self.rng.u64(0..60));
-            let node = &mut self.nodes[n];
-            let base = node.holder.seen().newest();
-            if node.up && !node.stopped && node.proposal.is_none() {
-                node.proposal =
-                    Some(Command::Propose { token, by: format!("n{n}"), base, body: body(number) });
+            self.propose_at(n, token, number);
+        }
+    }
+
+    /// One of the proposers proposes, and does not wait for its next renewal to say so.
+    fn propose_under_load(&mut self, proposers: usize) {
+        let all = self.nodes.len();
+        let n = all - 1 - self.rng.usize(0..proposers.clamp(1, all));
+        let (token, number) = (self.rng.u64(..), self.rng.u64(0..60));
+        let proposed = self.propose_at(n, token, number);
+        let warm = self.now < self.load.warm;
+        if let Some(count) = self.count.as_mut().filter(|_| !warm) {
+            count.wanted += 1;
+            count.waited += u64::from(!proposed);
+            if proposed {
+                count.made.insert(token);
             }
         }
+        if proposed {
+            self.renew(n);
+        }
+    }
+
+    fn propose_at(&mut self, n: usize, token: u64, number: u64) -> bool {
+        let node = &mut self.nodes[n];
+        let base = node.holder.seen().newest();
+        let may = node.up && !node.stopped && node.proposal.is_none();
+        if may {
+            let body = with_tenants(body(number), &self.tenants);
+            node.proposal = Some(Command::Propose { token, by: format!("n{n}"), base, body });
+        }
+        may
     }
 
     fn fault(&mut self) {
@@ -588,6 +770,41 @@
         }
     }
 
+    fn traffic(&self) -> Traffic {
+        let Some(count) = &self.count else { return Traffic::default() };
+        let (from, until) = (self.load.warm, self.trial.seconds * S);
+        let seconds = until.saturating_sub(from) as f64 / 1e9;
+        let flow = |of: &dyn Fn(usize) -> bool| {
+            let nodes: Vec<usize> = (0..self.nodes.len()).filter(|n| of(*n)).collect();
+            let mean = |counts: &[[u64; 2]], what: usize| {
+                let sum: u64 = nodes.iter().map(|n| counts[*n][what]).sum();
+                sum as f64 / seconds / nodes.len().max(1) as f64
+            };
+            Flow {
+                heard: mean(&count.heard, 0),
+                sent: mean(&count.sent, 0),
+                heard_words: mean(&count.heard, 1),
+                sent_words: mean(&count.sent, 1),
+            }
+        };
+        let voters = self.trial.voters;
+        let others = self.nodes.len().saturating_sub(voters).max(1);
+        let newest = self.nodes.iter().filter_map(|n| n.holder.seen().latest()).max_by_key(|d| d.version);
+        Traffic {
+            seconds,
+            scheduler: flow(&|n| n >= voters),
+            voter: flow(&|n| n < voters),
+            raft: count.raft as f64 / seconds / voters as f64,
+            proposals: count.proposals as f64 / seconds,
+            news: count.news as f64 / seconds / others as f64,
+            wanted: count.wanted,
+            waited: count.waited,
+            missed: self.missed.intersection(&count.made).count() as u64,
+            versions: self.force.values().filter(|at| (from..until).contains(at)).count() as u64,
+            document: newest.and_then(|d| serde_json::to_vec(&d.body).ok()).map_or(0, |json| json.len()),
+        }
+    }
+
     fn told(&self) -> Told {
         let verdict: Verdict = judge(&self.lines, 0, |version| self.contradicts.contains(&version));
         let mut breaches: Vec<String> = verdict.breaches.iter().map(ToString::to_string).collect();
