loomlb-lab scale: a part of the target with real schedulers beside hollow ones

Nobody had run the tier near the size of the target. Real processes of the program, five voters with their disks among them, now run beside hollow schedulers (the real core of the lease and the real words on real links), hollow workers, clients and proposers; the real ones alone are measured, and a run in which the stand-ins were the bottleneck says that it is no result.

--- a/crates/contracts/src/lib.rs
+++ b/crates/contracts/src/lib.rs
@@ -3,6 +3,8 @@
 
 #![forbid(unsafe_code)]
 
+pub mod tier_client;
+
 use loomlb_accord::disk::{Disk, Loaded};
 use loomlb_accord::place::{Fault, Lasting, Place};
 use loomlb_accord::store_error::StoreError;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod baselines;
 pub mod days;
 pub mod processes;
+pub mod scale;
 pub mod tables;
 pub mod trial;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use loomlb_emulator::{Live, Options, Stop};
 use loomlb_lab::baselines::{Baseline, Idea};
 use loomlb_lab::processes::{self, Schedule};
-use loomlb_lab::{days, tables, trial};
+use loomlb_lab::{days, scale, tables, trial};
 use loomlb_model::Day;
 use loomlb_model::simulate::{self, Decider};
 use rayon::prelude::*;
@@ -35,6 +35,11 @@
     Policies(Policies),
     /// Put a tier that agrees on its settings through faults: in virtual time, or with real processes.
     Trial(Trial),
+    /// Run a part of the target: real schedulers beside hollow ones, workers, clients and changes; what the real ones cost.
+    Scale(Scale),
+    /// Hollow workers, as `scale` starts them.
+    #[command(hide = true)]
+    ScaleWorkers(scale::workers::Args),
     /// List the days that ship.
     Days,
     /// The scheduler itself, as `loomlb` runs it; what `emulate` starts where no program is named.
@@ -102,6 +107,101 @@
     json: bool,
 }
 
+#[derive(clap::Args)]
+struct Scale {
+    /// The part of the target: 1/30, 1/10, 1/3, 1.
+    #[arg(long, default_value = "1/30", value_parser = part)]
+    part: (f64, String),
+    /// Length of what is measured, in seconds.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    seconds: u64,
+    /// Seed of all random numbers.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Voters die and stand still, a region is cut off, workers and schedulers start anew, a rack leaves.
+    #[arg(long)]
+    faults: bool,
+    /// The scheduler's program (default: the scheduler that is built into this one).
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Costs that were predicted, to compare with.
+    #[arg(long)]
+    predict: Option<PathBuf>,
+    /// Schedulers on the tier.
+    #[arg(long)]
+    schedulers: Option<f64>,
+    /// Workers in each list.
+    #[arg(long)]
+    workers: Option<f64>,
+    /// Changes of the document a second.
+    #[arg(long)]
+    changes: Option<f64>,
+    /// Size of the document, in bytes.
+    #[arg(long)]
+    document: Option<f64>,
+    /// Jobs that start a second at each scheduler that serves.
+    #[arg(long)]
+    starts: Option<f64>,
+    /// Flows open at each scheduler that serves.
+    #[arg(long)]
+    flows: Option<f64>,
+    /// The tier's bound, in seconds.
+    #[arg(long, default_value_t = 4.0)]
+    bound: f64,
+    /// Voters: 3, 5 or 7.
+    #[arg(long, default_value_t = 5)]
+    voters: usize,
+    /// Show the schedulers' logs on standard error.
+    #[arg(long)]
+    logs: bool,
+    /// Print one JSON object instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// Write the JSON object to this file as well.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+/// A part of the target: `1`, `0.1` or `1/10`.
+fn part(text: &str) -> Result<(f64, String), String> {
+    let (above, below) = text.split_once('/').unwrap_or((text, "1"));
+    let number = |t: &str| t.trim().parse::<f64>().map_err(|e| format!("{t:?}: {e}"));
+    let value = number(above)? / number(below)?;
+    if value > 0.0 && value <= 1.0 { Ok((value, text.into())) } else { Err("above 0 and up to 1".into()) }
+}
+
+fn scaled(args: &Scale) -> Result<ExitCode, String> {
+    let options = scale::Options {
+        part: args.part.clone(),
+        seconds: args.seconds,
+        seed: args.seed,
+        faults: args.faults,
+        apart: scale::Apart {
+            schedulers: args.schedulers,
+            workers: args.workers,
+            changes: args.changes,
+            document: args.document,
+            starts: args.starts,
+            flows: args.flows,
+        },
+        bound: args.bound,
+        voters: args.voters,
+        serving: 2,
+        program: program(args.program.as_ref())?,
+        host: std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?,
+        predict: args.predict.clone(),
+        logs: args.logs,
+        stop: stop_on_signal()?,
+    };
+    let played = scale::run(&options, &mut |line| eprintln!("{line}")).map_err(|e| e.to_string())?;
+    if let Some(file) = &args.out {
+        let text = serde_json::to_string_pretty(&played).map_err(|e| e.to_string())?;
+        std::fs::write(file, text + "\n").map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    report(args.json, &played, || played.table())?;
+    Ok(verdict(u64::from(!played.counts())))
+}
+
 #[derive(clap::Args)]
 struct Demo {
     /// How long requests arrive, in seconds.
@@ -449,6 +549,10 @@
         Command::Demo(args) => demo(&args),
         Command::Policies(args) => policies(&args),
         Command::Trial(args) => trials(&args),
+        Command::Scale(args) => scaled(&args),
+        Command::ScaleWorkers(args) => {
+            scale::workers::run(&args).map(|()| ExitCode::SUCCESS).map_err(|e| format!("workers: {e}"))
+        }
         Command::Scheduler { args } => {
             return loomlb::run(std::iter::once(OsString::from("loomlb")).chain(args));
         }
