--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod capacity;
 pub mod days;
 pub mod processes;
+pub mod scale;
 pub mod tables;
 pub mod trial;
