--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -11,6 +11,7 @@
 pub mod probe;
 pub mod quota;
 pub mod scheduler;
+pub mod target;
 pub mod tier;
 pub mod voter;
 
@@ -35,6 +36,12 @@
     /// Write the JSON to a file, too.
     #[arg(long, value_name = "FILE")]
     pub out: Option<std::path::PathBuf>,
+    /// Measure nothing: put the figures of `--from` to this plan, and print its tables for the page.
+    #[arg(long, value_name = "FILE", requires = "from")]
+    pub plan: Option<std::path::PathBuf>,
+    /// An earlier report of the bench.
+    #[arg(long, value_name = "FILE", requires = "plan")]
+    pub from: Option<std::path::PathBuf>,
 }
 
 /// One module's series.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use loomlb_accord::timing::Terms;
+use loomlb_capacity::plan;
 use loomlb_emulator::{Live, Options, Stop};
 use loomlb_lab::baselines::{Baseline, Idea};
 use loomlb_lab::processes::{self, Schedule};
@@ -450,6 +451,24 @@
     Ok(verdict(breaches))
 }
 
+/// Measures costs by size, or puts measured ones to a plan.
+fn costs(args: &capacity::Options) -> Result<ExitCode, String> {
+    if let (Some(plan), Some(from)) = (&args.plan, &args.from) {
+        let planned = capacity::target::plan(plan, from, args.out.as_deref())?;
+        let file =
+            args.out.as_ref().and_then(|f| f.file_name()).map_or("plan.json".into(), |f| f.to_string_lossy());
+        // The page stands one folder above its figures.
+        let file = format!("capacity/{file}");
+        report(args.json, &planned, || {
+            format!("{}\n{}", plan::roles(&planned, &file), plan::ranking(&planned, &file))
+        })?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let told = capacity::run(args)?;
+    report(args.json, &told, || capacity::table(&told))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn simulate(args: &Simulate) -> Result<ExitCode, String> {
     let day = days::load(&args.day)?;
     let played = play(&day, args.seed, args.threads, args.policy);
@@ -551,10 +570,7 @@
         Command::Demo(args) => demo(&args),
         Command::Policies(args) => policies(&args),
         Command::Trial(args) => trials(&args),
-        Command::Capacity(args) => capacity::run(&args).and_then(|told| {
-            report(args.json, &told, || capacity::table(&told))?;
-            Ok(ExitCode::SUCCESS)
-        }),
+        Command::Capacity(args) => costs(&args),
         Command::Scale(args) => scaled(&args),
         Command::ScaleWorkers(args) => {
             scale::workers::run(&args).map(|()| ExitCode::SUCCESS).map_err(|e| format!("workers: {e}"))
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -18,6 +18,8 @@
 pub use report::Report;
 
 use loomlb_accord::timing::{Terms, Timing};
+use loomlb_capacity::predict::predict;
+use loomlb_capacity::report::Report;
 use loomlb_capacity::{Costs, Workload};
 use loomlb_emulator::Stop;
 use std::ffi::OsString;
@@ -238,9 +240,9 @@
     }
 }
 
-/// The costs that a file predicts for a workload. The file holds the costs themselves.
-pub fn predicted(path: &Path, _workload: &Workload) -> Result<Costs, Error> {
+/// What a workload costs by the slopes in a report of [`crate::capacity`].
+pub fn predicted(path: &Path, workload: &Workload) -> Result<Costs, Error> {
     let failed = |reason: String| Error::Prediction { path: path.into(), reason };
     let text = std::fs::read_to_string(path).map_err(|e| failed(e.to_string()))?;
-    serde_json::from_str(&text).map_err(|e| failed(e.to_string()))
+    Report::read(&text).map(|report| predict(&report, workload)).map_err(|e| failed(e.to_string()))
 }
