A reload is said to be in force once it is kept for the process that takes over

Cause: put_in_force (reload.rs) logged "configuration reloaded" before it kept the new file for a successor (Config::took). A process started at that word could read the older kept file and run by settings that the operator had just replaced: a fault of the program, not of the stage. The story of a file turned down met it as "502 failed" in place of "unknown class": the successor still knew the class.

Change: the line comes last, after the settings are in force and kept. A story holds the kept file half-written through a pipe and sees that the line waits for it.

The new story failed on the program before, at once.

--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -53,13 +53,6 @@
     let (next, starts) = s.epoch().next((*fresh.epoch).clone(), |class| book.has_class(class.0))?;
     drop(book);
     let changed = starts.iter().filter(|start| **start != Start::Kept).count();
-    tracing::info!(
-        "configuration reloaded: discovery: {}; {changed} classes changed or new",
-        fresh.discovery
-    );
-    if !fresh.postponed.is_empty() {
-        tracing::warn!("configuration: {}: changed, read at the next start", fresh.postponed.join(", "));
-    }
     s.pool.keepalive(next.terms.keepalive);
     s.shutdown.turn(|service| service.patience(next.longest()));
     s.shares.classes(&next.aims());
@@ -67,7 +60,13 @@
     *s.epoch.borrow_mut() = Rc::new(next);
     route::feed(s, Event::Settings(settings, starts));
     discovery::renamed(s);
-    s.group.follow_at(fresh.discovery);
+    let (discovery, postponed) = (fresh.discovery, fresh.postponed.join(", "));
+    s.group.follow_at(discovery);
     s.config.took(fresh);
+    // Said last: a process that starts at this word, and takes over, reads what is kept.
+    tracing::info!("configuration reloaded: discovery: {discovery}; {changed} classes changed or new");
+    if !postponed.is_empty() {
+        tracing::warn!("configuration: {postponed}: changed, read at the next start");
+    }
     Ok(())
 }
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -416,6 +416,18 @@
             }
         }
     }
+    /// Whether these words come in the log within this time.
+    pub fn says(&self, words: &str, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        let mut lines = std::iter::from_fn(|| {
+            self.log.recv_timeout(until.saturating_duration_since(Instant::now())).ok()
+        });
+        lines.any(|line| line.contains(words))
+    }
+    /// The number of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
     pub fn connect(&self) -> Line {
         Line::new(TcpStream::connect(self.at).unwrap())
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -7,6 +7,8 @@
 use std::io::{Read, Write};
 use std::os::unix::net::UnixListener;
 use std::process::Command;
+use std::sync::mpsc::channel;
+use std::time::Duration;
 
 /// Hears a job at a target and takes it.
 fn take(line: &mut Line, id: &str) {
@@ -146,6 +148,35 @@
     }
 }
 
+/// A process that starts at the word that a reload is in force starts from it: the file that it reads then is written. Here
+/// that is slow, as it goes through a pipe that takes no more until the test reads it.
+#[test]
+fn a_reload_is_said_to_be_in_force_once_it_is_kept_for_the_process_that_takes_over() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let mut old = Stage::beside(&[&target], &discovery, &platform);
+    old.ready();
+    let pipe = platform.folder.path().join(format!("loomlb-127.0.0.1-0.{}", old.id()));
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    let (begun, go_on) = (channel(), channel());
+    let reader = std::thread::spawn(move || {
+        let (mut kept, mut first, mut rest) = (std::fs::File::open(&pipe).unwrap(), [0], String::new());
+        kept.read_exact(&mut first).unwrap();
+        begun.0.send(()).unwrap();
+        go_on.1.recv().unwrap();
+        kept.read_to_string(&mut rest).unwrap();
+        rest
+    });
+    let long = format!(r#""name":"sign","note":"{}""#, "x".repeat(200_000));
+    old.reload(r#""name":"lodge""#, &long);
+    begun.1.recv_timeout(Duration::from_secs(20)).expect("the file is written");
+    let early = old.says("configuration reloaded", Duration::from_millis(300));
+    assert!(!early, "a process that starts now would not find what has been reloaded");
+    go_on.0.send(()).unwrap();
+    old.logged("configuration reloaded");
+    assert!(reader.join().unwrap().contains(r#""name":"sign""#));
+}
+
 #[test]
 fn a_descriptor_that_is_no_listening_socket_ends_the_start_at_once() {
     let files = tempfile::tempdir().unwrap();
