A dispatcher that has neither sent nor heard for a second sends a job again

Cause: request() in rules.rs refuses while the wait met in the zone is beyond a job's patience, and that mean only fades (7 s but for 1/e) while nothing is sent: only jobs that go out tell that the wait is over.

Change: it refuses so only while some worker got a job of ours or gave a sign of life within the last second.

Result: tests/attempts.rs passes, with the crate's other tests (53 in all). A second story there, of drawn events: no second attempt at a worker while its first is open though copies are allowed, none for a client that has gone, none told more than what is left; it passed before too. The first try at the mend looked at sends alone and failed without_reports_what_would_wait_beyond_its_slack_is_refused: fresh news of a wait must count too.

--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -34,6 +34,8 @@
 /// What a wait for slots at a worker weighs, in mean running times: late is worth nothing, so any worker that
 /// has the slots free comes first. Jobs that find no slot at all wait here, where they can still choose.
 const WAIT: f64 = 4.0;
+/// Who has neither sent nor heard anything for this long sends a job though the waits met before were long.
+const TRY_AGAIN: Nanos = 1_000_000_000;
 /// What a job served leaves of the failures before it. One that fails most jobs serves some all the same.
 const FORGIVE: f64 = 0.7;
 /// What peers told of a worker is forgotten but for 1/e in this time: a word of theirs may have been lost.
@@ -370,9 +372,11 @@
         toward(&mut self.mean_value, value, 0.01);
         toward(&mut self.mean_need, job.request.slots, 0.02);
         self.most_need = self.most_need.max(job.request.slots);
-        // Where no report tells of room nothing is held; in overload queues would grow until all is late.
+        // Where no report tells of room nothing is held; in overload queues would grow until all is late. Only
+        // jobs that go out tell that a wait is over, so one goes now and then.
         let patience = self.mean_run + slack * value / self.mean_value.max(1e-9);
-        let refuse = self.blind() && self.zone_wait(self.set.zone.0) > patience;
+        let tries = self.workers.iter().any(|k| self.now < k.sent.max(k.heard) + TRY_AGAIN);
+        let refuse = self.blind() && tries && self.zone_wait(self.set.zone.0) > patience;
         self.jobs.insert(id, job);
         if refuse {
             self.end(id, out);
@@ -435,14 +439,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return true };
         let known = &mut self.workers[w];
         let (zone, cell) = (known.entry.zone, known.entry.cell);
-        known.age(self.now, self.mean_run);
+        known.sends(self.now, self.mean_run, job.request.slots);
         job.attempts.push(Attempt { worker: w, zone, cell, sent: self.now, started: None, outcome: None });
-        if known.attempts == 0 {
-            known.heard = self.now;
-        }
-        known.attempts += 1;
-        known.peak = known.peak.max(known.attempts);
-        known.own += job.request.slots;
         let work = job.work / cold::warmth(&self.set.rules, known.entry.started, self.now);
         known.meter.sent(id, job.attempts.len() as u32 - 1, self.now, work, job.request.key);
         let timeout = job.deadline.saturating_sub(2 * self.set.tick).saturating_sub(self.now).max(1);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -45,6 +45,8 @@
     pub(crate) meter: Meter,
     /// When it last gave a sign of life, or got a job while it had none.
     pub(crate) heard: Nanos,
+    /// When it last got a job of ours.
+    pub(crate) sent: Nanos,
     pub(crate) full_until: Nanos,
     /// Cold budget: what may be sent now if not negative, as of `cold_at`.
     pub(crate) cold_credit: f64,
@@ -66,6 +68,16 @@
         self.own_mean = self.own_mean * keep + self.own * (1.0 - keep);
         self.mean_at = now;
     }
+    /// It gets a job of ours that takes so many slots.
+    pub(crate) fn sends(&mut self, now: Nanos, span: f64, slots: f64) {
+        self.age(now, span);
+        if self.attempts == 0 {
+            self.heard = now;
+        }
+        self.attempts += 1;
+        self.peak = self.peak.max(self.attempts);
+        (self.own, self.sent) = (self.own + slots, now);
+    }
     /// How long jobs of ours have been there without a word. A worker that takes jobs and answers none looks
     /// free to every count, and its attempts end only with their clients' patience.
     pub(crate) fn silent(&self, now: Nanos) -> f64 {
