--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -15,6 +15,8 @@
 const SLOW_DIALS: (&str, &str) = (r#""dial_timeout":1000000000"#, r#""dial_timeout":15000000000"#);
 /// Attempts are not cancelled when their client has gone: the last look before the first byte is all that holds them.
 const NO_CANCEL: (&str, &str) = (r#""cancel":true"#, r#""cancel":false"#);
+/// A worker's word that it has turned a job away, unstarted.
+const TURNED_AWAY: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 const ROOMY: (&str, &str) = (r#""sockets":64"#, r#""sockets":256"#);
 
 fn done(id: &str, from: &Server) -> String {
@@ -108,6 +110,195 @@
     goes_to(&stage, &narrow.server, "b1", "19.000");
 }
 
+/// An attempt that comes back unstarted once its client has gone is the last one, also where attempts are not cancelled.
+#[test]
+fn a_first_attempt_that_comes_back_after_its_client_left_is_followed_by_none() {
+    let (one, two) = (Server::new("s-00000001"), Server::new("s-00000002"));
+    let discovery = Agent::new(Mode::Answers, &[one.entry("active")]);
+    let stage = Stage::changed(&[&one], &discovery.server, &[PATIENT, NO_CANCEL]);
+    stage.until("lists=1");
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "19.000"));
+    let mut first = one.accept();
+    assert!(first.hear().contains("a1"));
+    discovery.lists(&[one.entry("leaving"), two.entry("active")]);
+    stage.until("lists=2");
+    drop(client);
+    stage.until("gone=1 forwards=1");
+    first.say(TURNED_AWAY);
+    stage.until("gone=1 forwards=1 Full=1");
+    // The first that the other worker hears is the next client's job.
+    goes_to(&stage, &two, "b1", "19.000");
+    stage.until("gone=1 forwards=2 Full=1");
+}
+
+// ---- the time that an attempt tells its worker
+
+/// A first attempt comes back late, and the connection of the second comes up late: what the second tells its worker is no
+/// more than what is left to the client by then.
+#[test]
+fn a_further_attempt_tells_its_worker_no_more_than_what_is_left_to_the_client() {
+    let (one, mut narrow) = (Server::new("s-00000001"), Narrow::new("s-00000002"));
+    let discovery = Agent::new(Mode::Answers, &[one.entry("active")]);
+    let stage = Stage::changed(&[&one], &discovery.server, &[PATIENT, SLOW_DIALS]);
+    stage.until("lists=1");
+    let told = |head: &str| -> f64 {
+        let line = head.lines().find_map(|l| l.strip_prefix("X-Time-Left: "));
+        line.expect("it tells its time").parse().unwrap()
+    };
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "15.000"));
+    let mut first = one.accept();
+    let at_first = told(&first.hear());
+    // Its client has waited since before this moment.
+    let heard = Instant::now();
+    assert!(at_first <= 15.0, "{at_first}");
+    discovery.lists(&[one.entry("leaving"), narrow.server.entry("active")]);
+    stage.until("lists=2");
+    std::thread::sleep(Duration::from_millis(700));
+    first.say(TURNED_AWAY);
+    stage.until("forwards=2 Full=1 dials=2");
+    std::thread::sleep(Duration::from_millis(700));
+    let left = 15.0 - heard.elapsed().as_secs_f64();
+    narrow.widen();
+    let mut second = narrow.server.accept();
+    let at_second = told(&second.hear());
+    assert!(at_second <= left + 0.001 && at_second > 0.0, "{at_second} told, {left} left");
+    second.say(&response("202 Accepted", ""));
+    stage.call_back(&done("a1", &narrow.server));
+    assert!(client.answer().ends_with("a1"));
+}
+
+// ---- messages in pieces, in all forms, slowly, and many at once
+
+/// What is said of one message in pieces, each read before the next is said: a turn of the program's loop lies between them.
+fn in_pieces(stage: &Stage, line: &mut Line, text: &str) {
+    let body = text.find("\r\n\r\n").map_or(text.len(), |at| at + 4);
+    let mut cuts = [3, body / 3, body - 3, body - 1, body + 1, text.len()];
+    cuts.sort_unstable();
+    let mut from = 0;
+    for to in cuts.into_iter().filter(|to| *to <= text.len()) {
+        line.say(&text[from..to]);
+        stage.counters(&["flows"]);
+        from = to;
+    }
+}
+
+/// Requests, call-backs, workers' answers and lists, each in pieces and in the forms that the protocol page leaves free.
+#[test]
+fn messages_in_pieces_and_in_all_allowed_forms_are_read_like_any_other() {
+    let (discovery, one, two) = (Server::new("d"), Server::new("s-00000001"), Server::new("s-00000002"));
+    let stage = Stage::new(&[&one], &discovery);
+    // An indented list in chunks takes the place of the one that was known.
+    let mut line = discovery.accept();
+    line.hear();
+    let text =
+        list(3, true, &[two.entry("active")]).replace(':', " :\t").replace("127.0.0.1 :\t", "127.0.0.1:");
+    let text = text.replace(',', ",\n  ").replace('{', "{\n  ");
+    let (a, b) = text.split_at(text.len() / 2);
+    let chunked = format!("{:x}\r\n{a}\r\n{:X};part=2\r\n{b}\r\n0\r\n\r\n", a.len(), b.len());
+    in_pieces(
+        &stage,
+        &mut line,
+        &format!("HTTP/1.1 200 Fine\r\ntransfer-encoding: Chunked\r\n\r\n{chunked}"),
+    );
+    stage.until("lists=1");
+    // What a client may send: names in any case, blanks or none, decimals or whole seconds, a query, a body of any bytes
+    // and in chunks, more headers than anybody knows.
+    let head =
+        "x-correlation-id:ID\r\nX-SERVICE-CLASS:   view  \r\nx-time-left: 9\r\nidempotency-key: k-ID\r\n";
+    let requests = [
+        format!("POST /view/7f?a=b&c=%20 HTTP/1.1\r\nhost: h\r\n{head}content-length: 4\r\n\r\nh\r\ni"),
+        format!(
+            "POST /view/7f?a=b&c=%20 HTTP/1.1\r\n{head}Transfer-Encoding: CHUNKED\r\n\r\n1\r\nh\r\n3;x=\"y\"\r\n\r\ni\r\n0\r\nT: t\r\n\r\n"
+        ),
+        format!(
+            "POST /view/7f?a=b&c=%20 HTTP/1.1\r\nX-Facts: weight=3,none=\r\nX-Weight-Hint: soon\r\nX-Repeat: 0\r\nConnection: Keep-Alive\r\n{head}X-Account: nobody\r\nContent-Length:4\r\n\r\nh\r\ni"
+        ),
+    ];
+    // What a worker may answer when it takes a job, and how it may tell of it: before its 202 as well.
+    let taken = [
+        "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 202 \r\ncontent-length:5\r\nx-backend-load: inflight=1,util=0.5\r\n\r\nhello",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ];
+    let calls = [
+        r#"{"id":"ID","from":"s-00000002","state":"done","result":"made ID"}"#,
+        "{\n\t\"state\" : \"done\",\n\t\"load\" : {\"rif\": 1.0e0, \"q\": null},\n\t\"result\" : \"made ID\",\n\t\"more\" : [{}],\n\t\"from\" : \"s-00000002\",\n\t\"id\" : \"ID\"\n}\n",
+        r#"{"id":"\u0069D","from":"s-0000000\u0032","state":"d\u006fne","result":"m\u0061de ID"}"#,
+    ];
+    for (n, request) in requests.iter().enumerate() {
+        for (m, taken) in taken.iter().enumerate() {
+            // The last of the call-backs has the first letter of the number escaped.
+            let id = format!("i{n}{m}");
+            let call = calls[(n + m) % 3].replace(r"\u0069D", &format!(r"\u0069{n}{m}")).replace("ID", &id);
+            let mut client = stage.connect();
+            in_pieces(&stage, &mut client, &request.replace("ID", &id));
+            let mut forward = two.accept();
+            let heard = forward.hear();
+            assert!(heard.starts_with("POST /view/7f?a=b&c=%20 HTTP/1.1\r\n"), "{heard}");
+            assert!(heard.contains(&format!("\r\nX-Correlation-Id: {id}\r\n")), "{heard}");
+            assert!(heard.contains(&format!("\r\nIdempotency-Key: k-{id}\r\n")), "{heard}");
+            assert!(heard.ends_with("\r\n\r\nh\r\ni"), "{heard}");
+            let mut caller = stage.connect();
+            let call =
+                format!("POST /v1/job-events HTTP/1.1\r\ncontent-length: {}\r\n\r\n{call}", call.len());
+            let early = m == 0;
+            if early {
+                in_pieces(&stage, &mut caller, &call);
+            }
+            in_pieces(&stage, &mut forward, taken);
+            if !early {
+                in_pieces(&stage, &mut caller, &call);
+            }
+            assert_eq!(caller.answer(), "HTTP/1.1 200 OK | noted");
+            assert_eq!(client.answer(), format!("HTTP/1.1 200 OK | made {id}"));
+            // The next job has a connection of its own to come by.
+            forward.reset();
+        }
+    }
+}
+
+/// A client's time counts from its request's last byte, and while it writes it holds nobody up.
+#[test]
+fn a_slow_writers_time_counts_from_its_last_byte_and_others_are_served_meanwhile() {
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::new(&[&target], &discovery.server);
+    let mut slow = stage.connect();
+    let text = job("view", "a1", "0.900");
+    let (body, begun) = (text.len() - 1, Instant::now());
+    slow.say(&text[..body - 60]);
+    goes_to(&stage, &target, "b1", "3.000");
+    while begun.elapsed() < Duration::from_millis(1100) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    slow.say(&text[body - 60..body]);
+    assert_snapshot!(stage.counters(&["flows", "forwards"]), @"flows=1 forwards=1");
+    slow.say(&text[body..]);
+    let mut forward = target.accept();
+    serve(&stage, &mut forward, &target, "a1");
+    assert!(slow.answer().ends_with("a1"));
+}
+
+/// Many commands come in one piece on one connection. Each is sent on once, in its turn, and answered in its turn.
+#[test]
+fn many_commands_in_one_piece_are_answered_one_by_one_in_their_order() {
+    const MANY: usize = 30;
+    let (discovery, target) = (Agent::new(Mode::Silent, &[]), Server::new("s-00000001"));
+    let stage = Stage::changed(&[&target], &discovery.server, &[PATIENT]);
+    let mut client = stage.connect();
+    let health = "GET /healthz HTTP/1.1\r\n\r\n";
+    let all: String = (0..MANY).map(|n| job("view", &format!("a{n}"), "19.000") + health).collect();
+    client.say(&all);
+    let mut forward = target.accept();
+    for n in 0..MANY {
+        serve(&stage, &mut forward, &target, &format!("a{n}"));
+        assert_eq!(client.answer(), format!("HTTP/1.1 200 OK | a{n}"));
+        assert_eq!(client.answer(), "HTTP/1.1 200 OK | ready");
+    }
+    assert_snapshot!(stage.counters(&["flows", "forwards", "served"]), @"flows=30 served=30 forwards=30");
+}
+
 // ---- what changes while a dial is on its way
 
 /// A job is on its way to one worker, whose connection hangs; then this news of that worker comes, and only then the
@@ -193,6 +384,32 @@
     }
 }
 
+/// A watch that has gone on for many calls falls silent in the end, and the process has just been told to end: a job that it
+/// still holds is nothing that an old list may decide on.
+#[test]
+fn a_watch_that_falls_silent_late_at_a_process_that_is_to_end_is_opened_anew_in_time() {
+    let (one, two) = (Server::new("s-00000001"), Server::new("s-00000002"));
+    let discovery = Agent::new(Mode::Answers, &[one.entry("leaving")]);
+    let mut stage = Stage::changed(&[&one], &discovery.server, &[PATIENT]);
+    stage.until("lists=1");
+    discovery.called("from=2", 4);
+    let mut client = stage.connect();
+    client.say(&job("view", "a1", "19.000"));
+    stage.until("flows=1 forwards=0");
+    let before = discovery.calls("from=2").len();
+    discovery.mode(Mode::Silent);
+    discovery.lists(&[two.entry("active")]);
+    let silent = Instant::now();
+    stage.signal("TERM");
+    stage.logged("asked to end");
+    discovery.called("from=2", before + 1);
+    discovery.mode(Mode::Answers);
+    serve(&stage, &mut two.accept(), &two, "a1");
+    assert!(silent.elapsed() < Duration::from_secs(6), "{:?}", silent.elapsed());
+    assert!(client.answer().ends_with("a1"));
+    assert!(stage.ended());
+}
+
 /// Where the list is asked for, calls that are turned away are made again so soon that discovery's first answer after an
 /// outage comes in time, however long the outage was.
 #[test]
