--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -19,7 +19,7 @@
 
 use loomlb_accord::timing::{Terms, Timing};
 use loomlb_capacity::predict::predict;
-use loomlb_capacity::report::Report;
+use loomlb_capacity::report::Report as Slopes;
 use loomlb_capacity::{Costs, Workload};
 use loomlb_emulator::Stop;
 use std::ffi::OsString;
@@ -244,5 +244,5 @@
 pub fn predicted(path: &Path, workload: &Workload) -> Result<Costs, Error> {
     let failed = |reason: String| Error::Prediction { path: path.into(), reason };
     let text = std::fs::read_to_string(path).map_err(|e| failed(e.to_string()))?;
-    Report::read(&text).map(|report| predict(&report, workload)).map_err(|e| failed(e.to_string()))
+    Slopes::read(&text).map(|slopes| predict(&slopes, workload)).map_err(|e| failed(e.to_string()))
 }
