--- a/crates/capacity/src/predict.rs
+++ b/crates/capacity/src/predict.rs
@@ -18,8 +18,8 @@
 /// - `scheduler_sent` = `scheduler.tier.sent_idle` at the voters, by renewals, plus
 ///   `scheduler.tier.proposal_sent_by_document` for each change, over all schedulers, as any may propose.
 /// - `scheduler_cpu` = `scheduler.tier.time_idle` (a question sealed and its answer opened) for each voter and renewal, plus
-///   `scheduler.tier.time_by_document` for each answer with news (`scheduler.tier.news_by_document`), as a part of a core. What a scheduler does to put a
-///   document in force, its sockets and its jobs are not in it.
+///   `scheduler.tier.time_by_document` for each answer with news (`scheduler.tier.news_by_document`), as a part of a core.
+///   What a scheduler does to put a document in force, its sockets and its jobs are not in it.
 /// - `scheduler_memory` = live bytes: `scheduler.decision.memory_by_workers`, `scheduler.list.memory_by_workers`, the slope
 ///   of `scheduler.flows.memory_by_flows` at the flows, and `scheduler.tier.memory_by_document`. The program's own pages and
 ///   its connections are not in it.
@@ -27,7 +27,8 @@
 ///   and `voter.raft_sent_by_document` for each version.
 /// - `voter_heard` = what all schedulers send, a voter's part of it, plus the same from other voters.
 /// - `voter_cpu` = `voter.ask.time_by_schedulers` for each scheduler and renewal, plus `voter.news.time_by_document` for each
-///   scheduler and news of it, plus two `voter.apply.time_by_document` a version (agreed, and in force).
+///   scheduler and news of it, plus two `voter.apply.time_by_document` a version, as most are agreed and
+///   then put in force by a second entry.
 /// - `voter_memory` = live bytes: `voter.memory_by_schedulers` plus `voter.memory_by_document`. The program is not in it.
 /// - `voter_disk` = `voter.log.bytes_by_document` for each version.
 pub fn predict(report: &Report, workload: &Workload) -> Costs {
--- a/crates/lab/src/capacity/voter.rs
+++ b/crates/lab/src/capacity/voter.rs
@@ -205,6 +205,8 @@
     let mut time = meter::series(keys[1], "ns", size, Source::Timed, note);
     let note = "the agreement after 250 versions, just before its log is cut";
     let mut memory = meter::series(keys[2], "bytes", size, Source::Counted, note);
+    // What the library sets up once for a thread is no voter's memory.
+    drop(Lone::new(&Counted::default(), 0)?);
     for tenants in plan.sizes(&DOCUMENTS) {
         let place = Counted::default();
         let (lone, held) = live(|| -> Result<Lone, String> {
