--- a/crates/capacity/src/plan.rs
+++ b/crates/capacity/src/plan.rs
@@ -297,7 +297,7 @@
     for Ranked { limit, at, ratio } in &planned.limits {
         let link = |figure: Option<f64>, name: &str| match figure {
             Some(value) => format!("[{}]({file}#/limits/key={}/{name})", page::rounded(value), limit.key),
-            None => "not measured".into(),
+            None => "not reached".into(),
         };
         let (at, target, ratio) =
             (link(*at, "at"), link(Some(limit.target), "target"), link(*ratio, "ratio"));
