A list of discovery's may be as long as a sixteenth of the memory

The bound is the reader's now: 64 KiB for all others, limits.memory_mb / 16 for lists; a longer one is turned down, counted (list_faults), and the last list stays. The story fails without the change: lists=0 list_faults=1.

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -42,6 +42,8 @@
     pub outbound: usize,
     /// Bytes that the bodies of open flows may take together.
     pub body_bytes: usize,
+    /// Bytes of one list of discovery's; a longer one is turned down, and counts as a fault of the list.
+    pub list_bytes: usize,
     /// Where peers' datagrams arrive, if there are peers.
     pub peer_listen: Option<SocketAddr>,
     /// The schedulers of the tier by number, this one included.
@@ -269,6 +271,7 @@
             ample: (usable - outbound).min(self.limits.sockets / 4),
             outbound,
             body_bytes: (self.limits.memory_mb << 20) / 4,
+            list_bytes: (self.limits.memory_mb << 20) / 16,
             peer_listen: optional("peer_listen", self.peer_listen)?,
             peers: peers?,
             peers_all: optional("peers_all", self.peers_all)?,
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -410,7 +410,7 @@
     let address = s.group.address.get().unwrap_or(s.config.discovery);
     let dial = tokio::time::timeout(PATIENCE, TcpStream::connect(address));
     let Ok(Ok(stream)) = dial.await else { return Err("no connection") };
-    let mut wire = Wire::new(stream);
+    let mut wire = Wire::new(stream).taking(s.config.list_bytes);
     let (call, patience) = question(&s, Duration::ZERO);
     ask(&mut wire, &call, patience).await.map(|answer| (wire, answer))
 }
--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -11,7 +11,7 @@
 
 /// A head is no longer than this.
 pub const MAX_HEAD: usize = 16 * 1024;
-/// Nor a body than this.
+/// Nor a body than this, unless its reader takes longer ones.
 pub const MAX_BODY: usize = 64 * 1024;
 const MAX_HEADERS: usize = 64;
 /// Bytes that are kept of what a client sends while its last request is not answered.
@@ -145,7 +145,7 @@
 
 /// How the body is framed. A message that says it twice is refused: the next reader on its way might believe
 /// the other one, and take what is hidden in the body for a request.
-fn framing(message: &Message, kind: Kind) -> Result<Framing, Fault> {
+fn framing(message: &Message, kind: Kind, longest: usize) -> Result<Framing, Fault> {
     let all = |name: &'static str| {
         message.headers.iter().filter(move |h| h.0.eq_ignore_ascii_case(name.as_bytes())).map(|h| &h.1)
     };
@@ -165,7 +165,7 @@
         }
         (Some(_), _) => Err(Fault::Malformed),
         (None, Some(length)) => match length.parse() {
-            Ok(length) if length <= MAX_BODY => Ok(Framing::Length(length)),
+            Ok(length) if length <= longest => Ok(Framing::Length(length)),
             _ => Err(Fault::BodyTooLarge),
         },
         (None, None) => match (kind, message.status) {
@@ -181,6 +181,8 @@
     stream: TcpStream,
     buf: BytesMut,
     overrun: bool,
+    /// The longest body that is taken, in bytes.
+    longest: usize,
 }
 
 /// What came of throwing away what has come.
@@ -199,7 +201,12 @@
     pub fn new(stream: TcpStream) -> Self {
         // Without this a small message could wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
-        Wire { stream, buf: BytesMut::new(), overrun: false }
+        Wire { stream, buf: BytesMut::new(), overrun: false, longest: MAX_BODY }
+    }
+
+    /// The same where bodies may be of so many bytes.
+    pub fn taking(self, longest: usize) -> Self {
+        Wire { longest, ..self }
     }
 
     /// A second descriptor of the connection, which stays open when this one is dropped.
@@ -299,7 +306,7 @@
 
     /// Reads the body that belongs to a head.
     pub async fn read_body(&mut self, kind: Kind, mut message: Message) -> Result<Message, Fault> {
-        let framing = framing(&message, kind)?;
+        let framing = framing(&message, kind, self.longest)?;
         if kind == Kind::Request && message.says("expect", "100-continue") && self.buf.is_empty() {
             self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
@@ -314,7 +321,7 @@
             Framing::UntilClose => {
                 message.keep_alive = false;
                 while self.fill().await? > 0 {
-                    if self.buf.len() > MAX_BODY {
+                    if self.buf.len() > self.longest {
                         return Err(Fault::BodyTooLarge);
                     }
                 }
@@ -335,7 +342,7 @@
                     _ => return Err(Fault::Malformed),
                 }
             };
-            if size > (MAX_BODY - body.len()) as u64 {
+            if size > (self.longest - body.len()) as u64 {
                 return Err(Fault::BodyTooLarge);
             }
             self.buf.advance(skip);
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -666,3 +666,25 @@
     assert!((sent as f64) <= n + 2.0 * n.sqrt() + 2.0, "{sent} calls, {n} allowed");
     assert!(stages.iter_mut().all(Stage::lives));
 }
+
+// ---- lists of large fleets
+
+/// A list of two thousand workers is longer than any request may be, and is taken in like any other; one that is beyond
+/// a sixteenth of the memory is turned down, and the last one stays.
+#[test]
+fn a_list_is_taken_in_up_to_a_sixteenth_of_the_memory() {
+    let (discovery, one) = (Server::new("d"), Server::new("s-00000001"));
+    let stage = Stage::new(&[&one], &discovery);
+    let mut line = discovery.accept();
+    line.hear();
+    let entry = one.entry("active");
+    let many: Vec<String> = (1..=2_000).map(|n| entry.replace("s-00000001", &format!("s-{n:08x}"))).collect();
+    let text = list(3, true, &many);
+    assert!(text.len() > 200_000, "{}", text.len());
+    line.say(&response("200 OK", &text));
+    stage.until("lists=1 list_faults=0");
+    assert!(line.hear().contains("from=3"), "it goes on from this list");
+    line.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 64 << 20));
+    stage.until("lists=1 list_faults=1");
+    assert!(discovery.accept().hear().contains("from=3"), "the last list stays");
+}
