--- a/crates/emulator/src/rig.rs
+++ b/crates/emulator/src/rig.rs
@@ -99,6 +99,8 @@
     jobs: Mutex<HashMap<String, Job>>,
     /// Each scheduler's list: its version, and which worker is leaving.
     lists: Mutex<Vec<(u64, Option<usize>)>>,
+    /// Whole lists that were asked for.
+    whole_lists: AtomicU64,
     over: AtomicBool,
 }
 
@@ -193,6 +195,7 @@
             broken: (0..count * count).map(|_| AtomicU64::new(0)).collect(),
             jobs: Mutex::default(),
             lists: Mutex::new(vec![(1, None); count]),
+            whole_lists: AtomicU64::new(0),
             over: AtomicBool::new(false),
         });
         let (send, receive) = mpsc::channel();
@@ -395,6 +398,11 @@
         *list = (list.0 + 1, leaving);
     }
 
+    /// Whole lists that schedulers have asked for so far.
+    pub fn whole_lists(&self) -> u64 {
+        self.shared.whole_lists.load(Ordering::Relaxed)
+    }
+
     /// What a scheduler says of the tier.
     pub fn tier(&self, n: usize) -> Option<Value> {
         self.call(n, "GET /control/tier", "").map(|c| c.1)
@@ -564,6 +572,9 @@
                     tokio::time::sleep(LOOK).await;
                 }
                 let (seq, leaving) = list();
+                if from.is_none() {
+                    shared.whole_lists.fetch_add(1, Ordering::Relaxed);
+                }
                 let whole = from.is_none_or(|from| from != seq);
                 let entries = if whole { hosts(&dials, leaving) } else { Vec::new() };
                 Some(wire::response(200, json!({"seq": seq, "whole": whole, "hosts": entries}).to_string()))
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -44,10 +44,13 @@
         agreed::propose_settings(s, &fresh.settings());
         return Ok(());
     }
-    put_in_force(s, fresh)
+    let discovery = fresh.discovery;
+    put_in_force(s, fresh)?;
+    s.group.follow_at(discovery);
+    Ok(())
 }
 
-/// Puts settings in force, all of them or nothing.
+/// Puts settings in force, all of them or nothing. Discovery is followed on from the list that is there.
 pub fn put_in_force(s: &Rc<Scheduler>, fresh: Fresh) -> Result<(), String> {
     let book = s.book.borrow();
     let (next, starts) = s.epoch().next((*fresh.epoch).clone(), |class| book.has_class(class.0))?;
@@ -61,7 +64,6 @@
     route::feed(s, Event::Settings(settings, starts));
     discovery::renamed(s);
     let (discovery, postponed) = (fresh.discovery, fresh.postponed.join(", "));
-    s.group.follow_at(discovery);
     s.config.took(fresh);
     // Said last: a process that starts at this word, and takes over, reads what is kept.
     tracing::info!("configuration reloaded: discovery: {discovery}; {changed} classes changed or new");
--- a/tests/tier.rs
+++ b/tests/tier.rs
@@ -107,6 +107,26 @@
     assert!(verdict(&rig).acts > 100);
 }
 
+/// A version changes settings and no worker: nobody asks for the whole list for it, which a large fleet's is too long for.
+#[test]
+fn a_version_that_comes_into_force_has_nobody_ask_for_the_whole_list() {
+    let mut rig = rig(4, false);
+    let all = [0, 1, 2, 3];
+    assert!(rig.all_on(&all, 1));
+    for (version, word) in [(2, "at_most_once"), (3, "deduplicated")] {
+        assert!(rig.until(|rig| propose(rig, 1, word).is_some_and(|s| s.0 < 300)));
+        assert!(rig.until(|rig| rig.all_on(&all, version)));
+    }
+    // A list that is newer is heard all the same, on the watch that went on.
+    all.iter().for_each(|n| rig.list(*n, Some(1)));
+    assert!(rig.until(|rig| all.iter().all(|n| rig.tier(*n).is_some_and(|t| t["lists"]["mine"] == 2))));
+    assert_eq!(rig.whole_lists(), 0);
+    // A file at SIGHUP may name another discovery: there the whole list is asked for.
+    rig.reload(0, |_| ()).unwrap();
+    assert!(rig.until(|rig| rig.whole_lists() > 0));
+    verdict(&rig);
+}
+
 /// Staff on the command line: what a version is, who made it, one proposed, and one that comes too late.
 #[test]
 fn staff_ask_propose_and_wait_on_the_command_line() {
