A proposal is said again at the renewal's pace, not with every question

Whoever waits for an outcome has the lease asked for every 10 ms, and each time the whole proposal was said again: an entry of the log with the whole document each. It goes out once a renewal (0.25 s) now; questions go on as often.

--- a/crates/lab/tests/page.rs
+++ b/crates/lab/tests/page.rs
@@ -63,11 +63,14 @@
             .lines()
             .position(|l| l.contains(&format!("const {name}:")) || l.contains(&format!("fn {name}()")));
         let at = at.unwrap_or_else(|| panic!("{file} has no {name}"));
-        // A constant stands on its line, a default in the line after its name.
-        let said: String = text.lines().skip(at).take(2).map(plain).collect::<Vec<_>>().join(" ");
-        let numbers =
-            said.split(|c: char| !c.is_ascii_digit() && c != '.').filter_map(|n| n.parse::<f64>().ok());
-        assert!(numbers.into_iter().any(|n| n == value), "{file}: {name} is no longer {value}: {said}");
+        // A constant stands on its line, perhaps as a product; a default in the line after its name.
+        let numbers = |line: &str| -> Vec<f64> {
+            let words = line.split(|c: char| !c.is_ascii_digit() && c != '.');
+            words.filter_map(|n| n.parse().ok()).collect()
+        };
+        let said: Vec<Vec<f64>> = text.lines().skip(at).take(2).map(|l| numbers(&plain(l))).collect();
+        let is = |n: &Vec<f64>| n.contains(&value) || n.iter().product::<f64>() == value;
+        assert!(said.iter().any(is), "{file}: {name} is no longer {value}: {said:?}");
         seen += 1;
     }
     assert!(seen >= 4);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -24,9 +24,10 @@
 use loomlb_accord::frames::Word;
 use loomlb_accord::holder::Holder;
 use loomlb_accord::lists::{Leaving, Mine};
-use loomlb_accord::state::{Command, State};
+use loomlb_accord::state::State;
 use loomlb_accord::timing::Timing;
 use loomlb_accord::{Acting, Nanos};
+use proposals::Waiting;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -89,7 +90,7 @@
     held: Cell<bool>,
     /// The strictest rules are in force here, for want of a lease.
     careful: Cell<bool>,
-    proposals: RefCell<BTreeMap<u64, Command>>,
+    proposals: RefCell<BTreeMap<u64, Waiting>>,
     boxes: Vec<Outbox>,
     hurry: Notify,
     /// The newest and the oldest list in use, and since when this one is behind.
--- a/crates/tier/src/proposals.rs
+++ b/crates/tier/src/proposals.rs
@@ -2,10 +2,10 @@
 
 use crate::voter::voter_hears;
 use crate::{Application, LOOK, On, Tier, random};
-use loomlb_accord::Version;
 use loomlb_accord::frames::Word;
 use loomlb_accord::rules::Body;
 use loomlb_accord::state::{Command, Outcome};
+use loomlb_accord::{Nanos, Version};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -15,6 +15,26 @@
 /// Proposals of this scheduler that wait for their outcome.
 const PROPOSALS: usize = 64;
 
+/// A proposal without an outcome.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    command: Command,
+    /// When it was said last.
+    said: Option<Nanos>,
+}
+
+impl Waiting {
+    /// The proposal, if it is to be said now. Each time that a voter hears it is an entry of the log with the whole document,
+    /// so it is not said again with every question of who waits for it.
+    fn due(&mut self, now: Nanos, pause: Nanos) -> Option<Command> {
+        if self.said.is_some_and(|said| now < said + pause) {
+            return None;
+        }
+        self.said = Some(now);
+        Some(self.command.clone())
+    }
+}
+
 /// Sends this scheduler's proposals again until their outcome is known; proposes its own file where there is nothing yet.
 pub(crate) fn settle(on: &On, around: &dyn Application, turn: usize) {
     let empty = on.holder.borrow().seen().newest() == 0;
@@ -26,7 +46,8 @@
     let mut proposals = on.proposals.borrow_mut();
     proposals.retain(|token, _| seen.seen().outcome(*token).is_none());
     drop(seen);
-    let waiting: Vec<Command> = proposals.values().cloned().collect();
+    let waiting: Vec<Command> =
+        proposals.values_mut().filter_map(|p| p.due(on.now(), on.timing.renew)).collect();
     drop(proposals);
     let voter = turn % on.boxes.len();
     for command in waiting {
@@ -45,7 +66,8 @@
     if proposals.len() >= PROPOSALS {
         return None;
     }
-    proposals.insert(token, Command::Propose { token, by: on.name.clone(), base, body });
+    let command = Command::Propose { token, by: on.name.clone(), base, body };
+    proposals.insert(token, Waiting { command, said: None });
     on.hurry.notify_one();
     Some(token)
 }
--- /dev/null
+++ b/crates/tier/tests/proposals.rs
@@ -0,0 +1,121 @@
+//! What a scheduler says to the voters, heard by stand-ins that never agree.
+
+use loomlb_accord::frames::{self, FIRST, Word};
+use loomlb_accord::lists::{Leaving, Mine, Theirs};
+use loomlb_accord::rules::Body;
+use loomlb_accord::state::{Command, Document, State};
+use loomlb_tier::{Application, Spec};
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+const KEY: &str = "a key of sixteen bytes";
+
+/// A process that takes whatever it is told.
+struct Idle;
+
+impl Application for Idle {
+    fn list(&self) -> Mine {
+        Mine::default()
+    }
+    fn settings(&self) -> Value {
+        json!({"tick": 1})
+    }
+    fn check(&self, _: Value) -> Result<(), String> {
+        Ok(())
+    }
+    fn put_in_force(&self, _: Value) -> Result<(), String> {
+        Ok(())
+    }
+    fn order(&self, _: &str, _: bool) {}
+    fn leaving(&self, _: &Leaving) -> bool {
+        false
+    }
+    fn forget_leaving(&self) {}
+    fn ask_list_anew(&self) {}
+}
+
+/// What the stand-ins have heard.
+#[derive(Default)]
+struct Heard {
+    questions: Cell<u32>,
+    proposals: Cell<u32>,
+}
+
+/// A voter that promises all, has a document, and agrees on nothing.
+async fn voter(mut stream: TcpStream, heard: Rc<Heard>) -> std::io::Result<()> {
+    let mine = [7; 16];
+    stream.write_all(&frames::greeting(&mine)).await?;
+    let mut first = [0; FIRST];
+    stream.read_exact(&mut first).await?;
+    let theirs = frames::greeted(&first).expect("a greeting");
+    let (mut from, mut to) = frames::channels(KEY, &theirs, &mine);
+    let body = Body::of(&json!({"tick": 1}), BTreeSet::new());
+    let active = Some(Document { version: 1, by: "a".into(), body });
+    let state = State { index: 1, active, ..State::default() };
+    let mut bytes = Vec::new();
+    loop {
+        while let Some(word) = from.open(&mut bytes).expect("a sound word") {
+            match word {
+                Word::Ask { number, index, .. } => {
+                    heard.questions.set(heard.questions.get() + 1);
+                    let news = (index < 1).then(|| Box::new(state.clone()));
+                    let answer = Word::Answer { number, yes: true, news, lists: Theirs::default() };
+                    stream.write_all(&to.seal(&answer)).await?;
+                }
+                // Not the file that it proposed before it knew of a document.
+                Word::Propose(Command::Propose { body, .. }) if body.settings["tick"] == 2 => {
+                    heard.proposals.set(heard.proposals.get() + 1);
+                }
+                _ => {}
+            }
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Each time that a proposal is said it is an entry of the voters' log with the whole document in it. Who waits for its
+/// outcome asks often, and says the proposal itself no more often than it renews its lease.
+#[tokio::test(flavor = "current_thread")]
+async fn a_proposal_without_an_outcome_is_said_again_at_the_renewals_pace_and_no_faster() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let heard = Rc::new(Heard::default());
+            let mut voters = String::new();
+            for n in 0..3 {
+                let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+                voters +=
+                    &format!("[[voter]]\nname = \"v{n}\"\nat = \"{}\"\n", listener.local_addr().unwrap());
+                let heard = Rc::clone(&heard);
+                spawn_local(async move {
+                    while let Ok((stream, _)) = listener.accept().await {
+                        spawn_local(voter(stream, Rc::clone(&heard)));
+                    }
+                });
+            }
+            let spec: Spec = toml::from_str(&format!("key = \"{KEY}\"\nrenew_s = 0.25\n{voters}")).unwrap();
+            let (tier, listener) = loomlb_tier::open(Some(spec), "s").await.unwrap();
+            let around: Rc<dyn Application> = Rc::new(Idle);
+            loomlb_tier::start(&tier, &around, listener);
+            while !tier.may_act() {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            let begun = std::time::Instant::now();
+            let settings = json!({"tick": 2}).to_string();
+            let (status, said) = loomlb_tier::proposed(&tier, &Idle, settings.as_bytes(), None).await;
+            assert_eq!(status, 503, "{said}");
+            // As often as renewals fit into the time that it took, the first one, and one that was on its way.
+            let most = (begun.elapsed().as_secs_f64() / 0.25) as u32 + 2;
+            let (proposals, questions) = (heard.proposals.get(), heard.questions.get());
+            assert!((2..=most).contains(&proposals), "said {proposals} times, {most} at the most");
+            assert!(questions > 3 * most, "{questions} questions: who waits asks often");
+        })
+        .await;
+}
