The story of a prediction reads a report of the bench, as scale does now

scale read costs as JSON until the bench of slopes was there; the story wrote such a file and failed once predictions came from the report. It writes a report now, and asserts what it did: said before the run, compared after it, what is off named in order.

--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -1,6 +1,8 @@
 //! Runs in little: real processes beside a few hollow schedulers, for some seconds. What must be so at every size is
 //! looked at here, and no timings.
 
+use loomlb_capacity::report::{Machine, Report};
+use loomlb_capacity::{Point, Series, Source};
 use serde_json::Value;
 use std::path::Path;
 use std::process::{Command, Stdio};
@@ -203,7 +205,27 @@
 fn a_prediction_is_said_before_and_compared_after() {
     let files = tempfile::tempdir().unwrap();
     let file = files.path().join("costs.json");
-    std::fs::write(&file, r#"{"scheduler_sent": 1.0, "scheduler_memory": 1e30}"#).unwrap();
+    // A report by which a scheduler says a byte a second, and holds far more than it can.
+    let flat = |key: &str, value: f64| Series {
+        key: key.into(),
+        role: "scheduler".into(),
+        unit: "bytes".into(),
+        by: "size".into(),
+        source: Source::Counted,
+        points: [1.0, 1e6].map(|size| Point { size, values: vec![value] }).to_vec(),
+        note: String::new(),
+    };
+    let series = vec![
+        flat("scheduler.tier.sent_idle", 1.0),
+        flat("scheduler.tier.proposal_sent_by_document", 0.0),
+        flat("scheduler.decision.memory_by_workers", 1e30),
+        flat("scheduler.list.memory_by_workers", 0.0),
+        flat("scheduler.flows.memory_by_flows", 0.0),
+        flat("scheduler.tier.memory_by_document", 0.0),
+    ];
+    let machine = Machine { cores: 1, memory_mb: 1, release: false };
+    let slopes = Report::new(machine, true, series).unwrap();
+    std::fs::write(&file, slopes.write()).unwrap();
     let (status, report, said) = run(&["--seconds", "2", "--predict", file.to_str().unwrap()]);
     assert!(matches!(status, Some(0 | 1)), "{said}");
     let (told, began) = (said.find("predicted:").unwrap(), said.find("measuring").unwrap());
