--- a/crates/decide/src/rules.rs
+++ b/crates/decide/src/rules.rs
@@ -372,8 +372,8 @@
         toward(&mut self.mean_value, value, 0.01);
         toward(&mut self.mean_need, job.request.slots, 0.02);
         self.most_need = self.most_need.max(job.request.slots);
-        // Where no report tells of room nothing is held; in overload queues would grow until all is late. Only
-        // jobs that go out tell that a wait is over, so one goes now and then.
+        // Where no report tells of room nothing is held; in overload queues would grow until all is late.
+        // Only jobs that go out tell that a wait is over, so one goes now and then.
         let patience = self.mean_run + slack * value / self.mean_value.max(1e-9);
         let tries = self.workers.iter().any(|k| self.now < k.sent.max(k.heard) + TRY_AGAIN);
         let refuse = self.blind() && tries && self.zone_wait(self.set.zone.0) > patience;
