--- a/crates/tier/src/lease.rs
+++ b/crates/tier/src/lease.rs
@@ -39,8 +39,10 @@
 fn ask(on: &On, around: &dyn Application) {
     let (number, acting) = on.holder.borrow_mut().ask(on.now());
     let index = on.holder.borrow().seen().index;
+    // A look at every worker: once for all voters.
+    let list = around.list();
     for voter in 0..on.boxes.len() {
-        let word = Word::Ask { number, acting, index, list: around.list() };
+        let word = Word::Ask { number, acting, index, list: list.clone() };
         if on.number == Some(voter as u64 + 1) {
             let who = (on.name.clone(), on.process);
             if let Some(Word::Answer { number, yes, news, lists }) = voter_hears(on, &who, on.number, word) {
