Review case 2: a dropped class with a long deadline makes later restarts lose requests

Seen: a reload drops the class with the longest deadline (3 s, the others 1 s). Five seconds later there is a planned restart. The scheduler takes jobs as if SIGKILL came 3.7 s after SIGTERM, but it comes after 1.75 s and finds ten requests unanswered that had arrived 1.5 s after SIGTERM. Without the reload everything is answered and the process ends by itself 3.5 s after SIGTERM.

Cause by the code: RuntimeSettings::merge keeps the entry of a dropped class, and longest_client_timeout counts it for ever. Nothing is changed in the program.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review, one sub-command each: `loomlb-review CASE RECORD`. Run from the repository's root.
 
 mod common;
+mod restart;
 mod upgrade;
 
 use std::path::Path;
@@ -10,12 +11,13 @@
     let [case, record] = &arguments[..] else { usage() };
     let run = match case.as_str() {
         "upgrade" => upgrade::run,
+        "restart" => restart::run,
         _ => usage(),
     };
     run(Path::new(record))
 }
 
 fn usage() -> ! {
-    eprintln!("usage: loomlb-review upgrade RECORD");
+    eprintln!("usage: loomlb-review upgrade|restart RECORD");
     std::process::exit(2)
 }
