Review case 3: requests that are not whole yet take more memory than the limit

Seen: 330 bad clients each send 65.7 KB of a chunked request whose body has less than 64 KiB, and stay. They send 21.7 MB; 340 of them make the scheduler hold 51 MB of anonymous memory for 2 s, where limits.memory_mb is 32. The platform's stand-in kills it, and the requests of all usual clients go with it. Without the bad clients the peak is under 1 MB.

Cause by the code: bodies count against memory only once a request is whole, and a chunked body is held twice until then. Nothing is changed in the program.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review, one sub-command each: `loomlb-review CASE RECORD`. Run from the repository's root.
 
 mod common;
+mod memory;
 mod restart;
 mod upgrade;
 
@@ -12,12 +13,13 @@
     let run = match case.as_str() {
         "upgrade" => upgrade::run,
         "restart" => restart::run,
+        "memory" => memory::run,
         _ => usage(),
     };
     run(Path::new(record))
 }
 
 fn usage() -> ! {
-    eprintln!("usage: loomlb-review upgrade|restart RECORD");
+    eprintln!("usage: loomlb-review upgrade|restart|memory RECORD");
     std::process::exit(2)
 }
