Incomplete requests count against memory, and the most silent client makes room

Seen: 330 clients each sent 65.7 KB of a chunked request and stopped.

Cause: a request counted against memory only once it was complete, and until then a chunked body was held twice: in the body and in an input buffer that had grown to its largest chunk. Buffers doubled as well, so 65 KB took up to 150 KB. A sized body, trailers and call-backs had the same cause.

Change: the listener owns a ReceiveMemory of an eighth of limits.memory_mb. A connection reserves what a message takes before a buffer grows; its first 8 KiB do not count, so requests of usual size never wait. At the limit the connection that has sent nothing for the longest time gets 408, so a client that goes on sending displaces one that has stopped. A body is read straight into a buffer of its own that never grows past what is allowed. The reservation lasts until the flow counts the body. New counter memory_evictions, last in its line.

--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -177,6 +177,8 @@
     pub dials_again: u64,
     /// Connects abandoned because of a failure or limit on this machine.
     pub dials_local: u64,
+    /// Connections closed in the middle of a request as others needed its memory.
+    pub memory_evictions: u64,
 }
 
 /// Statuses of error replies to invalid requests.
@@ -251,7 +253,8 @@
         write!(f, "; reloads={} reload_faults={}", c.reloads, c.reload_faults)?;
         write!(f, "; peers: in={} out={}; panics={}", c.peers_in, c.peers_out, c.panics)?;
         write!(f, "; accept_gone={}", c.accept_gone)?;
-        write!(f, " dials_again={} dials_local={}", c.dials_again, c.dials_local)
+        write!(f, " dials_again={} dials_local={}", c.dials_again, c.dials_local)?;
+        write!(f, " memory_evictions={}", c.memory_evictions)
     }
 }
 
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -44,6 +44,9 @@
     pub max_outbound: usize,
     /// Maximum total size of the bodies of open flows, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum total size of requests that clients are still sending, in bytes, without the first
+    /// [`UNCOUNTED_BYTES`](super::receive_memory::UNCOUNTED_BYTES) of each connection.
+    pub max_receive_bytes: usize,
     /// Maximum size of a response of discovery, in bytes. A longer one is rejected as malformed.
     pub max_list_bytes: usize,
     /// The address at which datagrams of peers arrive, if there are peers.
@@ -319,6 +322,7 @@
             idle_close_threshold: (usable - outbound).min(self.limits.sockets / 4),
             max_outbound: outbound,
             max_body_bytes: (self.limits.memory_mb << 20) / 4,
+            max_receive_bytes: (self.limits.memory_mb << 20) / 8,
             max_list_bytes: (self.limits.memory_mb << 20) / 16,
             peer_listen: optional("peer_listen", self.peer_listen)?,
             peers: peers?,
--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 framing: reads messages from a connection and encodes responses.
 
-use bytes::{Buf, Bytes, BytesMut};
+use super::receive_memory::ReceiveReservation;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use loomlb_sockets::is_retryable;
 use std::future::Future;
 use std::io;
@@ -15,8 +16,15 @@
 /// Maximum size of a body, unless [`Connection::with_max_body`] sets another one.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 const MAX_HEADERS: usize = 64;
+/// Space that the input buffer gains when it is full.
+const BUFFER_BYTES: usize = 4 * 1024;
+/// First size of the buffer of a longer body. It doubles as input arrives, so that a length that is announced alone takes
+/// no memory.
+const FIRST_BODY_BYTES: usize = 1024;
 /// Input kept from a client that continues to send while its last request is unanswered.
 const MAX_PIPELINED_BYTES: usize = 8 * 1024;
+/// Ends the data of a chunk.
+const CHUNK_END: &[u8] = b"\r\n";
 /// Interval between checks whether a connection with more input than that is closed.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Time limit of a lingering close.
@@ -209,8 +217,12 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Size of the head and of the buffer of the body of the message that is read.
+    message_bytes: usize,
     input_discarded: bool,
     max_body_bytes: usize,
+    /// The memory that messages may take, if it is limited together with that of other connections.
+    memory: Option<ReceiveReservation>,
 }
 
 /// What [`Connection::discard`] found.
@@ -229,7 +241,14 @@
     pub fn new(stream: TcpStream) -> Self {
         // Disables Nagle's algorithm: a small message must not wait for the acknowledgement of the previous one.
         let _ = stream.set_nodelay(true);
-        Connection { stream, buffer: BytesMut::new(), input_discarded: false, max_body_bytes: MAX_BODY_BYTES }
+        Connection {
+            stream,
+            buffer: BytesMut::new(),
+            message_bytes: 0,
+            input_discarded: false,
+            max_body_bytes: MAX_BODY_BYTES,
+            memory: None,
+        }
     }
 
     /// The same connection with another limit for the size of a body.
@@ -237,6 +256,34 @@
         Connection { max_body_bytes, ..self }
     }
 
+    /// The same connection, which waits for this memory while it reads. The memory of a message counts until
+    /// [`Connection::release_message`] or [`Connection::discard_input`].
+    pub fn with_memory(self, memory: ReceiveReservation) -> Self {
+        Connection { memory: Some(memory), ..self }
+    }
+
+    /// Ends the reservation of memory for the last message, which its owner has dropped or counts elsewhere.
+    pub fn release_message(&mut self) {
+        self.message_bytes = 0;
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        if let Some(memory) = &self.memory {
+            memory.shrink(self.buffer.capacity());
+        }
+    }
+
+    /// Whether the connection must close because its message takes memory that others need.
+    pub fn is_evicted(&self) -> bool {
+        self.memory.as_ref().is_some_and(ReceiveReservation::is_evicted)
+    }
+
+    /// Drops input that is not part of a complete message, with its memory. The connection must not be read again.
+    pub fn discard_input(&mut self) {
+        self.buffer = BytesMut::new();
+        self.release_message();
+    }
+
     /// A duplicate of the socket's descriptor, which stays open when the connection is dropped.
     pub fn descriptor(&self) -> io::Result<OwnedFd> {
         self.stream.as_fd().try_clone_to_owned()
@@ -249,13 +296,33 @@
 
     /// Waits for input and returns its size, 0 if the peer has closed. Cancel safe: no input is lost.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(4096);
-        loomlb_sockets::read_some(&self.stream, &mut self.buffer).await
+        if self.buffer.len() == self.buffer.capacity() {
+            self.reserve_memory(self.buffer.len().max(BUFFER_BYTES)).await;
+            self.buffer.reserve(BUFFER_BYTES);
+        }
+        let length = loomlb_sockets::read_some(&self.stream, &mut self.buffer).await?;
+        self.record_input();
+        Ok(length)
+    }
+
+    /// Waits until the connection may use this much more memory. Cancel safe.
+    async fn reserve_memory(&self, additional: usize) {
+        if let Some(memory) = &self.memory {
+            memory.resize(self.message_bytes + self.buffer.capacity() + additional).await;
+        }
+    }
+
+    fn record_input(&self) {
+        if let Some(memory) = &self.memory {
+            memory.record_input();
+        }
     }
 
     /// Receives available input without waiting; false if the peer has closed or the connection has failed.
     pub fn poll_input(&mut self) -> bool {
-        self.buffer.reserve(4096);
+        if self.buffer.len() == self.buffer.capacity() {
+            self.buffer.reserve(BUFFER_BYTES);
+        }
         match self.stream.try_read_buf(&mut self.buffer) {
             Ok(length) => length > 0,
             Err(error) => is_retryable(&error),
@@ -310,14 +377,23 @@
 
     /// Reads one message.
     pub async fn read(&mut self, kind: MessageKind) -> Result<Message, ReadError> {
+        if let Some(memory) = &self.memory {
+            memory.start_request();
+        }
         let message = self.read_head(kind).await?;
-        self.read_body(kind, message).await
+        let message = self.read_body(kind, message).await?;
+        if let Some(memory) = &self.memory {
+            memory.finish_request();
+        }
+        Ok(message)
     }
 
     /// Reads the head of a message. Informational responses (1xx) are skipped.
     pub async fn read_head(&mut self, kind: MessageKind) -> Result<Message, ReadError> {
         loop {
+            let buffered = self.buffer.len();
             if let Some(message) = take_head(&mut self.buffer, kind)? {
+                self.message_bytes = buffered - self.buffer.len();
                 if kind == MessageKind::Response && (100..200).contains(&message.status) {
                     continue;
                 }
@@ -341,29 +417,76 @@
         {
             self.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        message.body = match framing {
-            BodyFraming::Length(length) => {
-                while self.buffer.len() < length {
-                    self.read_more().await?;
-                }
-                self.buffer.split_to(length).freeze()
-            }
-            BodyFraming::Chunked => self.read_chunked_body().await?,
+        let mut body = Vec::new();
+        match framing {
+            BodyFraming::Length(length) => self.read_body_part(&mut body, length, length).await?,
+            BodyFraming::Chunked => self.read_chunked_body(&mut body).await?,
             BodyFraming::UntilClose => {
                 message.keep_alive = false;
-                while self.fill().await? > 0 {
-                    if self.buffer.len() > self.max_body_bytes {
-                        return Err(ReadError::BodyTooLarge);
-                    }
-                }
-                self.buffer.split().freeze()
+                self.read_until_close(&mut body).await?;
             }
-        };
+        }
+        body.shrink_to_fit();
+        message.body = Bytes::from(body);
         Ok(message)
     }
 
-    async fn read_chunked_body(&mut self) -> Result<Bytes, ReadError> {
-        let mut body = BytesMut::new();
+    /// Reads the next `length` bytes of a body that ends with at most `max_body_bytes`.
+    async fn read_body_part(
+        &mut self,
+        body: &mut Vec<u8>,
+        length: usize,
+        max_body_bytes: usize,
+    ) -> Result<(), ReadError> {
+        let end = body.len() + length;
+        let buffered = length.min(self.buffer.len());
+        self.reserve_body(body, buffered, max_body_bytes).await;
+        body.extend_from_slice(&self.buffer[..buffered]);
+        self.buffer.advance(buffered);
+        while body.len() < end {
+            if body.len() == body.capacity() {
+                self.reserve_body(body, 1, max_body_bytes).await;
+            }
+            let missing = end - body.len();
+            if loomlb_sockets::read_some(&self.stream, &mut (&mut *body).limit(missing)).await? == 0 {
+                return Err(ReadError::Broken);
+            }
+            self.record_input();
+        }
+        Ok(())
+    }
+
+    /// Grows the buffer of a body by at least `additional` bytes, and beyond that up to twice its size, as far as
+    /// `max_body_bytes`. Waits for the memory first.
+    async fn reserve_body(&mut self, body: &mut Vec<u8>, additional: usize, max_body_bytes: usize) {
+        let needed = body.len() + additional;
+        if needed <= body.capacity() {
+            return;
+        }
+        let doubled = (2 * body.capacity()).max(FIRST_BODY_BYTES).min(max_body_bytes);
+        let capacity = needed.max(doubled);
+        let growth = capacity - body.capacity();
+        self.reserve_memory(growth).await;
+        body.reserve_exact(capacity - body.len());
+        self.message_bytes += growth;
+    }
+
+    /// Reads a body that ends when the peer closes the connection.
+    async fn read_until_close(&mut self, body: &mut Vec<u8>) -> Result<(), ReadError> {
+        let max_body_bytes = self.max_body_bytes;
+        loop {
+            let buffered = self.buffer.len();
+            if body.len() + buffered > max_body_bytes {
+                return Err(ReadError::BodyTooLarge);
+            }
+            self.read_body_part(body, buffered, max_body_bytes).await?;
+            if self.fill().await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn read_chunked_body(&mut self, body: &mut Vec<u8>) -> Result<(), ReadError> {
         loop {
             let (line_length, chunk_size) = loop {
                 match httparse::parse_chunk_size(&self.buffer) {
@@ -380,15 +503,14 @@
             if chunk_size == 0 {
                 break;
             }
-            let chunk_size = chunk_size as usize;
-            while self.buffer.len() < chunk_size + 2 {
+            self.read_body_part(body, chunk_size as usize, self.max_body_bytes).await?;
+            while self.buffer.len() < CHUNK_END.len() {
                 self.read_more().await?;
             }
-            body.extend_from_slice(&self.buffer[..chunk_size]);
-            if &self.buffer[chunk_size..chunk_size + 2] != b"\r\n" {
+            if !self.buffer.starts_with(CHUNK_END) {
                 return Err(ReadError::Malformed);
             }
-            self.buffer.advance(chunk_size + 2);
+            self.buffer.advance(CHUNK_END.len());
         }
         // Trailers are dropped; an empty line ends them.
         let mut trailer_bytes = 0;
@@ -399,7 +521,7 @@
                     self.buffer.advance(line_end + 1);
                     trailer_bytes += line_end + 1;
                     if empty {
-                        return Ok(body.freeze());
+                        return Ok(());
                     }
                 }
                 None if trailer_bytes + self.buffer.len() < MAX_HEAD_BYTES => self.read_more().await?,
@@ -430,8 +552,7 @@
         /// Pause between reads, so that a client with a large body does not occupy the thread.
         const READ_INTERVAL: Duration = Duration::from_millis(1);
         let _ = self.stream.shutdown().await;
-        // Frees the buffered input.
-        self.buffer = BytesMut::new();
+        self.discard_input();
         let discard_input = async {
             while let Ok(Ok(())) = tokio::time::timeout(LINGER_IDLE_TIMEOUT, self.stream.readable()).await {
                 if self.discard() == Discarded::Closed {
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -4,6 +4,7 @@
 use super::admit::{Offer, Rejection, admit};
 use super::book::{Answer, JobRequest};
 use super::http::{Connection, Message, MessageKind, ReadError, encode_response};
+use super::receive_memory::ReceiveMemory;
 use super::relay::{self, CallBackResult};
 use super::{Scheduler, upgrade};
 use loomlb_policy::Nanos;
@@ -68,6 +69,8 @@
     limit: usize,
     /// Number of connections above which idle ones are evicted.
     idle_eviction_threshold: usize,
+    /// The memory of requests that clients are still sending.
+    receive_memory: Rc<ReceiveMemory>,
     connections: RefCell<HashMap<u64, ConnectionEntry>>,
     next_number: Cell<u64>,
     /// Notified when a connection is closed.
@@ -76,11 +79,12 @@
 
 impl Listener {
     /// A listener for up to `limit` connections, which evicts idle ones when there are more than
-    /// `idle_eviction_threshold`.
-    pub fn new(limit: usize, idle_eviction_threshold: usize) -> Self {
+    /// `idle_eviction_threshold`, and for `receive_bytes` of requests that are not complete.
+    pub fn new(limit: usize, idle_eviction_threshold: usize, receive_bytes: usize) -> Self {
         Listener {
             limit,
             idle_eviction_threshold,
+            receive_memory: ReceiveMemory::new(receive_bytes),
             connections: RefCell::default(),
             next_number: Cell::new(0),
             connection_closed: Notify::new(),
@@ -302,7 +306,8 @@
     mut before_first_request: bool,
 ) {
     let scheduler = Rc::clone(&guard.scheduler);
-    let mut connection = Connection::new(stream);
+    let memory = scheduler.listener.receive_memory.reservation(Rc::clone(&guard.close));
+    let mut connection = Connection::new(stream).with_memory(memory);
     let started = Instant::now();
     loop {
         if !connection.has_input() {
@@ -351,19 +356,28 @@
             () = guard.close.notified() => None,
         };
         before_first_request = false;
+        if !matches!(read, Some(Ok(_))) {
+            connection.discard_input();
+        }
         let (reply, keep_alive) = match read {
             Some(Ok(message)) => {
                 guard.set_state(ConnectionState::AwaitingAnswer);
                 let path = message.path.split(|byte| *byte == b'?').next().unwrap_or_default();
                 carries_call_backs = path == CALL_BACK_PATH.as_bytes();
-                let Some(reply) = handle_request(&guard, &mut connection, &message).await else { return };
-                (reply, message.keep_alive)
+                let keep_alive = message.keep_alive;
+                let Some(reply) = handle_request(&guard, &mut connection, message).await else { return };
+                connection.release_message();
+                (reply, keep_alive)
             }
             Some(Err(ReadError::Closed | ReadError::Broken)) => return,
             Some(Err(ReadError::Malformed)) => (Reply::text(400, "malformed request"), false),
             Some(Err(ReadError::HeadTooLarge)) => (Reply::text(431, "head too large"), false),
             Some(Err(ReadError::BodyTooLarge)) => (Reply::text(413, "body too large"), false),
-            None => (Reply::text(408, "request not whole in time"), false),
+            None => {
+                let evicted = connection.is_evicted();
+                scheduler.book.borrow_mut().counters.memory_evictions += u64::from(evicted);
+                (Reply::text(408, "request not whole in time"), false)
+            }
         };
         scheduler.book.borrow_mut().counters.count_invalid_request(reply.status);
         // While draining or shutting down, connections for call-backs stay open, as open flows need them; so do
@@ -450,7 +464,7 @@
 async fn handle_request(
     guard: &ConnectionGuard,
     connection: &mut Connection,
-    message: &Message,
+    message: Message,
 ) -> Option<Reply> {
     let scheduler = &guard.scheduler;
     let Ok(path) = std::str::from_utf8(&message.path) else {
@@ -480,10 +494,11 @@
         }
         _ => {}
     }
-    let offer = match parse_offer(scheduler, message, path) {
+    let offer = match parse_offer(scheduler, &message, path) {
         Ok(offer) => offer,
         Err(reply) => return Some(reply),
     };
+    drop(message);
     // The request may have waited for long, in the kernel or behind other requests of its connection.
     if connection.peer_has_closed().await {
         scheduler.book.borrow_mut().counters.gone_early += 1;
@@ -496,6 +511,8 @@
             return Some(Reply { retry_after, ..Reply::text(503, "no room") });
         }
     };
+    // The open flow counts its request from now on.
+    connection.release_message();
     guard.mark_useful();
     let answer = tokio::select! {
         biased;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod intake;
 pub mod peers;
 pub mod quotas;
+pub mod receive_memory;
 pub mod relay;
 pub mod reload;
 pub mod route;
@@ -140,7 +141,11 @@
         router: route::Router::new(Dispatcher::new(settings.policy.clone(), config.seed)),
         timers: timers::TimerWheel::new(clock.now()),
         pool: send::Pool::new(config.max_outbound, settings.network.keepalive),
-        listener: intake::Listener::new(config.max_inbound, config.idle_close_threshold),
+        listener: intake::Listener::new(
+            config.max_inbound,
+            config.idle_close_threshold,
+            config.max_receive_bytes,
+        ),
         book: RefCell::default(),
         target_group: discovery::TargetGroup::default(),
         orders: RefCell::default(),
--- /dev/null
+++ b/crates/scheduler/src/receive_memory.rs
@@ -0,0 +1,165 @@
+//! Receive memory: bounds the memory that client connections use for requests they are still sending. The listener owns
+//! one [`ReceiveMemory`]; each of its connections has a [`ReceiveReservation`] and resizes it before a buffer grows.
+//!
+//! At the limit the connection that has sent nothing for the longest time is closed: a client that stops in the middle
+//! of a request then makes room for one that continues.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Memory of each connection that does not count, as the number of connections bounds it. Holds a request of usual size,
+/// so that those are received even at the limit.
+pub const UNCOUNTED_BYTES: usize = 8 * 1024;
+
+/// The memory that all connections of a listener share.
+#[derive(Debug)]
+pub struct ReceiveMemory {
+    /// Maximum number of counted bytes.
+    limit: usize,
+    /// Number of counted bytes.
+    used: Cell<usize>,
+    holders: RefCell<HashMap<u64, Rc<Holder>>>,
+    next_number: Cell<u64>,
+    /// Notified when counted bytes are released.
+    released: Notify,
+}
+
+/// What is known of a connection with a reservation.
+#[derive(Debug)]
+struct Holder {
+    /// Its counted bytes.
+    counted: Cell<usize>,
+    /// When it last sent something.
+    last_input: Cell<Instant>,
+    /// Whether it is still sending a request.
+    receiving: Cell<bool>,
+    /// Whether it was requested to close.
+    evicted: Cell<bool>,
+    /// Notified to request that the connection closes.
+    close: Rc<Notify>,
+}
+
+impl ReceiveMemory {
+    /// Memory for up to `limit` counted bytes.
+    pub fn new(limit: usize) -> Rc<Self> {
+        Rc::new(ReceiveMemory {
+            limit,
+            used: Cell::new(0),
+            holders: RefCell::default(),
+            next_number: Cell::new(0),
+            released: Notify::new(),
+        })
+    }
+
+    /// Number of counted bytes.
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// A reservation of nothing for a connection that closes when `close` is notified.
+    pub fn reservation(self: &Rc<Self>, close: Rc<Notify>) -> ReceiveReservation {
+        let number = self.next_number.replace(self.next_number.get() + 1);
+        let holder = Rc::new(Holder {
+            counted: Cell::new(0),
+            last_input: Cell::new(Instant::now()),
+            receiving: Cell::new(false),
+            evicted: Cell::new(false),
+            close,
+        });
+        self.holders.borrow_mut().insert(number, Rc::clone(&holder));
+        ReceiveReservation { memory: Rc::clone(self), number, holder }
+    }
+
+    /// Requests connections to close until `needed` more bytes will be available, those first that have sent nothing for
+    /// the longest time. `requester` is spared.
+    fn evict(&self, requester: &Rc<Holder>, needed: usize) {
+        let holders = self.holders.borrow();
+        let closing: usize =
+            holders.values().filter(|holder| holder.evicted.get()).map(|holder| holder.counted.get()).sum();
+        let mut remaining = self.used.get() - closing;
+        while remaining + needed > self.limit {
+            let candidates = holders.values().filter(|holder| {
+                holder.counted.get() > 0
+                    && holder.receiving.get()
+                    && !holder.evicted.get()
+                    && !Rc::ptr_eq(holder, requester)
+            });
+            let Some(victim) = candidates.min_by_key(|holder| holder.last_input.get()) else { return };
+            remaining -= victim.counted.get();
+            victim.evicted.set(true);
+            victim.close.notify_one();
+        }
+    }
+}
+
+/// The memory reserved for a connection. Released when it is dropped.
+#[derive(Debug)]
+pub struct ReceiveReservation {
+    memory: Rc<ReceiveMemory>,
+    number: u64,
+    holder: Rc<Holder>,
+}
+
+impl ReceiveReservation {
+    /// Records that the connection has sent something.
+    pub fn record_input(&self) {
+        self.holder.last_input.set(Instant::now());
+    }
+
+    /// Records that the connection starts to send a request. Until [`Self::finish_request`] it may be closed to make room.
+    pub fn start_request(&self) {
+        self.holder.evicted.set(false);
+        self.holder.receiving.set(true);
+    }
+
+    /// Records that the connection has sent a complete request.
+    pub fn finish_request(&self) {
+        self.holder.receiving.set(false);
+    }
+
+    /// Whether the connection was requested to close in the middle of its request.
+    pub fn is_evicted(&self) -> bool {
+        self.holder.evicted.get()
+    }
+
+    /// Waits until the connection may use this many bytes. Cancel safe.
+    pub async fn resize(&self, bytes: usize) {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        let additional = counted.saturating_sub(self.holder.counted.get());
+        while additional > 0 && self.memory.used.get() + additional > self.memory.limit {
+            // A connection that is about to close itself does not close others.
+            if !self.holder.evicted.get() {
+                self.memory.evict(&self.holder, additional);
+            }
+            self.memory.released.notified().await;
+        }
+        self.set_counted(counted);
+    }
+
+    /// Reduces the reservation to this many bytes; a smaller reservation stays as it is.
+    pub fn shrink(&self, bytes: usize) {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        self.set_counted(counted.min(self.holder.counted.get()));
+    }
+
+    fn set_counted(&self, counted: usize) {
+        let previous = self.holder.counted.replace(counted);
+        self.memory.used.set(self.memory.used.get() - previous + counted);
+        if counted < previous {
+            self.memory.released.notify_waiters();
+        }
+    }
+}
+
+impl Drop for ReceiveReservation {
+    fn drop(&mut self) {
+        self.set_counted(0);
+        self.memory.holders.borrow_mut().remove(&self.number);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -257,6 +257,13 @@
     }
 }
 
+/// The memory that a process has allocated, without the pages of its program and files.
+pub fn anonymous_memory_bytes(process_id: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+    let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+    value.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
+}
+
 /// The connections that arrive at any of several servers, with the servers' names.
 pub struct IncomingConnections(Receiver<(String, TcpStream)>);
 
--- /dev/null
+++ b/tests/receive_memory.rs
@@ -0,0 +1,144 @@
+//! End-to-end tests of the memory limit while clients send requests that they never complete, or large ones.
+
+mod harness;
+
+use harness::{
+    AgentMode, DiscoveryAgent, HttpConnection, SchedulerProcess, Server, anonymous_memory_bytes, job,
+    response,
+};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// The smallest memory of a deployment.
+const MEMORY_MB: usize = 32;
+/// A third of 1,024 descriptors: as many connections as clients hold at most.
+const CLIENT_COUNT: usize = 341;
+/// Fewer than a quarter of 1,024 descriptors. With more connections the listener closes those that have been sending a
+/// request for 250 ms, whatever memory they take.
+const FEW_CLIENTS: usize = 250;
+/// The largest body that is allowed.
+const MAX_BODY: usize = 64 * 1024;
+
+fn start(discovery: &DiscoveryAgent, worker: &Server) -> SchedulerProcess {
+    let limits = format!("\"sockets\":1024,\"memory_mb\":{MEMORY_MB}");
+    SchedulerProcess::start_with_changes(&[worker], &discovery.server, &[("\"sockets\":64", &limits)])
+}
+
+/// A complete request with a body of this size, not chunked.
+fn sized_request(id: &str, body_bytes: usize) -> String {
+    let framing = format!("Content-Length: {body_bytes}\r\n\r\n{}", "x".repeat(body_bytes));
+    job("view", id, "4.000").replace("Content-Length: 2\r\n\r\nhi", &framing)
+}
+
+/// A complete request with a body of these chunks, up to the line that announces the end.
+fn chunked_request(id: &str, chunks: &[usize]) -> String {
+    let mut framing = String::from("Transfer-Encoding: chunked\r\n\r\n");
+    chunks.iter().for_each(|size| framing += &format!("{size:X}\r\n{}\r\n", "x".repeat(*size)));
+    job("view", id, "4.000").replace("Content-Length: 2\r\n\r\nhi", &framing) + "0\r\n"
+}
+
+/// A request that its client never completes.
+struct IncompleteRequest {
+    kind: &'static str,
+    /// How many clients send one.
+    clients: usize,
+    text: String,
+}
+
+/// The kinds of requests in the middle of which a client can stop, each as long as it may be.
+fn incomplete_requests(number: usize) -> Vec<IncompleteRequest> {
+    let id = format!("bad-{number}");
+    let cut = |text: String| text[..text.len() - 3].to_string();
+    let filling = |kind, text| IncompleteRequest { kind, clients: CLIENT_COUNT - 1, text };
+    let trailers: String = (0..15).map(|n| format!("T-{n}: {}\r\n", "x".repeat(1000))).collect();
+    let call_back =
+        format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {MAX_BODY}\r\n\r\n{}", "x".repeat(MAX_BODY));
+    let head = job("view", &id, "4.000").replace("\r\n\r\nhi", &format!("\r\nX-A: {}", "x".repeat(15_000)));
+    vec![
+        filling("chunks that shrink", cut(chunked_request(&id, &[0xf000, 0xf00, 0xf0]))),
+        filling("small chunks", cut(chunked_request(&id, &[64; 1000]))),
+        filling("one chunk", cut(chunked_request(&id, &[MAX_BODY]))),
+        filling("trailers", chunked_request(&id, &[MAX_BODY]) + &trailers),
+        filling("a sized body", cut(sized_request(&id, MAX_BODY))),
+        filling("a call-back", cut(call_back)),
+        IncompleteRequest { kind: "a head", clients: FEW_CLIENTS, text: head },
+    ]
+}
+
+/// Sets its flag when it is dropped.
+struct EndSampling<'a>(&'a AtomicBool);
+
+impl Drop for EndSampling<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Runs `load` and returns the most memory that the process had allocated meanwhile, in bytes.
+fn peak_memory_during(scheduler: &SchedulerProcess, load: impl FnOnce()) -> usize {
+    let (process_id, done) = (scheduler.process_id(), AtomicBool::new(false));
+    std::thread::scope(|scope| {
+        let sampling = scope.spawn(|| {
+            let mut peak = 0;
+            while !done.load(Ordering::Relaxed) {
+                peak = peak.max(anonymous_memory_bytes(process_id));
+                std::thread::sleep(Duration::from_millis(2));
+            }
+            peak
+        });
+        // Ends the sampling even if `load` panics.
+        let end_sampling = EndSampling(&done);
+        load();
+        // The allocations of the last request that was sent.
+        std::thread::sleep(Duration::from_millis(50));
+        drop(end_sampling);
+        sampling.join().unwrap()
+    })
+}
+
+/// Sends each request on a connection of its own. Returns the connections, as closing them would end the requests.
+fn send_all(scheduler: &SchedulerProcess, requests: impl Iterator<Item = String>) -> Vec<HttpConnection> {
+    let send = |request: String| {
+        let stream = TcpStream::connect(scheduler.address).unwrap();
+        stream.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
+        let mut connection = HttpConnection::new(stream);
+        // The connection may be closed before all is sent.
+        let _ = connection.try_send(&request);
+        connection
+    };
+    requests.map(send).collect()
+}
+
+/// Clients that stop in the middle of large requests took more memory than the limit, so that the process was killed. At
+/// the same time a client that sends a large body in parts must be served.
+#[test]
+fn incomplete_requests_of_any_kind_stay_within_the_memory_limit_and_do_not_displace_others() {
+    for (index, IncompleteRequest { kind, clients, .. }) in incomplete_requests(0).into_iter().enumerate() {
+        let (discovery, worker) = (DiscoveryAgent::new(AgentMode::Silent, &[]), Server::new("s-00000001"));
+        let scheduler = start(&discovery, &worker);
+        let mut usual = scheduler.connect();
+        let request = sized_request("a1", MAX_BODY);
+        let peak = peak_memory_during(&scheduler, || {
+            std::thread::scope(|scope| {
+                scope.spawn(|| {
+                    for part in request.as_bytes().chunks(4096) {
+                        usual.send(std::str::from_utf8(part).unwrap());
+                        std::thread::sleep(Duration::from_millis(10));
+                    }
+                });
+                let incomplete =
+                    (0..clients).map(|number| incomplete_requests(number).swap_remove(index).text);
+                let _connections = send_all(&scheduler, incomplete);
+                let mut forward = worker.accept();
+                assert!(forward.receive().contains("X-Correlation-Id: a1"), "{kind}");
+                forward.send(&response("202 Accepted", ""));
+            });
+        });
+        scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"r"}"#);
+        assert_eq!(usual.receive_response(), "HTTP/1.1 200 OK | r", "{kind}");
+        assert!(peak < MEMORY_MB << 20, "{kind}: {peak} bytes of {MEMORY_MB} MB");
+        let counters = scheduler.counters(&["bad_408", "memory_evictions"]);
+        println!("{kind}: peak {} KiB, {counters}", peak >> 10);
+    }
+}
