Hot restart: an id that the predecessor has open is in use at its successor

Seen: usual clients have four lodge (at_most_once) requests open when the process is replaced. A bad client sends their ids. Any class was affected.

Cause: admission looks for an id in its own process's book, and nothing tells the successor which ids its predecessor has open. The reverse held too: a request that arrives in parts over a handover is admitted by the predecessor, which did not know the successor's ids.

At a hit the successor asks whether the request is still open, so an id is free as soon as it is answered and a retry after a 503 is served. After the handover the successor decides about ids: the predecessor claims one there before it admits a late request. When the predecessor dies, ids of at-most-once requests stay in use until their deadline, others are free. Chains of restarts pass lists and questions on. The successor announces in its Hello that it shares ids; to an earlier build nothing new is sent, and an earlier build ignores the new field.

Four new tests fail on the untouched build and pass now: each class, two restarts in a row, requests in parts, a killed predecessor.

The pins of the hot restart gain the new messages; in three tests the expected Hello of a successor has the new field.

--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -19,6 +19,10 @@
         /// Protocol version of the successor, see [`PROTOCOL_VERSION`].
         #[serde(rename = "version")]
         version: u32,
+        /// Whether the successor reads [`RestartMessage::OpenRequests`] and answers [`ForwardedRequest::ClaimId`]. Missing
+        /// from earlier builds.
+        #[serde(rename = "shares_ids", default, skip_serializing_if = "std::ops::Not::not")]
+        shares_ids: bool,
     },
     /// The predecessor refuses to hand over, for this reason.
     #[serde(rename = "Refused")]
@@ -29,6 +33,10 @@
     /// The successor is ready to accept connections.
     #[serde(rename = "Ready")]
     Ready,
+    /// The requests that the predecessor has open. Sent before [`RestartMessage::Committed`] to a successor that shares
+    /// ids.
+    #[serde(rename = "Open")]
+    OpenRequests(Vec<OpenRequest>),
     /// The predecessor has stopped accepting connections.
     #[serde(rename = "Committed")]
     Committed,
@@ -66,6 +74,20 @@
     Bye,
 }
 
+/// A request that a process has open, so that no other one may admit its id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRequest {
+    /// The client's id.
+    #[serde(rename = "id")]
+    pub id: String,
+    /// When its client stops waiting, on the sender's clock.
+    #[serde(rename = "deadline")]
+    pub deadline: Nanos,
+    /// Whether it must not run a second time even if the process that has it dies.
+    #[serde(rename = "at_most_once")]
+    pub at_most_once: bool,
+}
+
 /// Resources that a process uses.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ResourceUsage {
@@ -89,6 +111,21 @@
     /// Method and path of an admin request that the sender has already applied to itself.
     #[serde(rename = "Order")]
     Admin(String, String),
+    /// Asks a process whether it has a request with this id open. Only for a predecessor that has sent
+    /// [`RestartMessage::OpenRequests`] or a snapshot with them.
+    #[serde(rename = "IsOpen")]
+    IsOpen(String),
+    /// Asks the successor, which accepts connections, for the right to admit a request that came on a connection of the
+    /// sender. Granted unless the id is in use. Only for a successor that shares ids.
+    #[serde(rename = "Claim")]
+    ClaimId(OpenRequest),
+}
+
+impl ForwardedRequest {
+    /// Whether only processes that share the ids of their requests can decode it.
+    pub fn needs_shared_ids(&self) -> bool {
+        matches!(self, ForwardedRequest::IsOpen(_) | ForwardedRequest::ClaimId(_))
+    }
 }
 
 /// Why a message cannot be encoded or decoded.
@@ -150,7 +187,7 @@
     #[test]
     fn messages_are_decoded_from_chunks_of_any_size_and_invalid_ones_are_rejected() {
         let messages = [
-            (RestartMessage::Hello { version: PROTOCOL_VERSION }, false),
+            (RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids: true }, false),
             (RestartMessage::ClientConnection { calls_back: true, fresh: false }, true),
             (RestartMessage::Request(7, ForwardedRequest::CallBack("{\"id\":\"é\"}".into())), false),
         ];
--- a/crates/hot-restart/tests/pins.rs
+++ b/crates/hot-restart/tests/pins.rs
@@ -5,13 +5,14 @@
 mod golden;
 
 use loomlb_hot_restart::message::{
-    ForwardedRequest, FrameDecoder, PROTOCOL_VERSION, ResourceUsage, RestartMessage,
+    ForwardedRequest, FrameDecoder, OpenRequest, PROTOCOL_VERSION, ResourceUsage, RestartMessage,
 };
 
 fn messages() -> Vec<(RestartMessage, bool)> {
     let usage = ResourceUsage { slots: vec![("s-00000001".into(), 1.5)], inbound: 2, outbound: 3 };
+    let open = OpenRequest { id: "a1".into(), deadline: 5_000_000_000, at_most_once: true };
     vec![
-        (RestartMessage::Hello { version: PROTOCOL_VERSION }, false),
+        (RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids: false }, false),
         (RestartMessage::Refused("another upgrade is under way".into()), false),
         (RestartMessage::Snapshot(serde_json::json!({"classes": ["view"], "é": null})), false),
         (RestartMessage::Snapshot(serde_json::json!({})), true),
@@ -28,6 +29,10 @@
         ),
         (RestartMessage::Response(7, true), false),
         (RestartMessage::Bye, false),
+        (RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids: true }, false),
+        (RestartMessage::OpenRequests(vec![open.clone()]), false),
+        (RestartMessage::Request(9, ForwardedRequest::IsOpen("a1".into())), false),
+        (RestartMessage::Request(10, ForwardedRequest::ClaimId(open)), false),
     ]
 }
 
--- a/crates/scheduler/src/admit.rs
+++ b/crates/scheduler/src/admit.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 /// Advice to clients that are rejected for lack of capacity: when to retry.
-const UNAVAILABLE_RETRY_AFTER: Nanos = 1_000_000_000;
+pub const UNAVAILABLE_RETRY_AFTER: Nanos = 1_000_000_000;
 /// Maximum length of a correlation id.
 const MAX_CORRELATION_ID_BYTES: usize = 128;
 
@@ -43,6 +43,8 @@
 pub enum Rejection {
     /// The offer is invalid; a retry would fail as well.
     Invalid(&'static str),
+    /// Another open request has its id.
+    IdInUse,
     /// There is no capacity or quota for it now; the client may retry after this time.
     Unavailable(Nanos),
 }
@@ -57,7 +59,7 @@
 }
 
 /// Whether a correlation id can be used unescaped in the path `/jobs/ID`, by which a job is cancelled.
-fn is_valid_correlation_id(id: &[u8]) -> bool {
+pub fn is_valid_correlation_id(id: &[u8]) -> bool {
     let unescaped = |byte: &u8| byte.is_ascii_alphanumeric() || b"-_.~:".contains(byte);
     !id.is_empty() && id.len() <= MAX_CORRELATION_ID_BYTES && id.iter().all(unescaped)
 }
@@ -76,7 +78,7 @@
     let mut book = scheduler.book.borrow_mut();
     // Call-backs name their flow by this id alone, so it must be unique.
     if book.find_by_correlation_id(&offer.job.correlation_id).is_some() {
-        return Err(Rejection::Invalid("id already in use"));
+        return Err(Rejection::IdInUse);
     }
     let full = book.len() >= active.network.max_open
         || book.body_bytes() + offer.job.body.len() > scheduler.config.max_body_bytes;
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -323,6 +323,11 @@
         flow.quota_grant.map(|grant| (grant, flow.run_seconds))
     }
 
+    /// The open flows.
+    pub fn flows(&self) -> impl Iterator<Item = &Flow> {
+        self.flows.values()
+    }
+
     /// Whether any open flow has this class.
     pub fn has_flow_of_class(&self, class: usize) -> bool {
         self.flows.values().any(|flow| flow.class == class)
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -494,7 +494,7 @@
         }
         _ => {}
     }
-    let offer = match parse_offer(scheduler, &message, path) {
+    let mut offer = match parse_offer(scheduler, &message, path) {
         Ok(offer) => offer,
         Err(reply) => return Some(reply),
     };
@@ -504,9 +504,11 @@
         scheduler.book.borrow_mut().counters.gone_early += 1;
         return None;
     }
-    let mut admitted = match admit(scheduler, offer) {
+    let available = upgrade::open_requests::check_id(scheduler, &mut offer).await;
+    let mut admitted = match available.and_then(|_claim| admit(scheduler, offer)) {
         Ok(admitted) => admitted,
         Err(Rejection::Invalid(reason)) => return Some(Reply::text(400, reason)),
+        Err(Rejection::IdInUse) => return Some(Reply::text(400, "id already in use")),
         Err(Rejection::Unavailable(retry_after)) => {
             return Some(Reply { retry_after, ..Reply::text(503, "no room") });
         }
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -8,11 +8,14 @@
 use super::relay::{self, CallBackResult};
 use super::{Scheduler, control, intake, route};
 use loomlb_hot_restart::link::{Link, ReceiveBuffer};
-use loomlb_hot_restart::message::{ForwardedRequest, PROTOCOL_VERSION, ResourceUsage, RestartMessage};
+use loomlb_hot_restart::message::{
+    ForwardedRequest, OpenRequest, PROTOCOL_VERSION, ResourceUsage, RestartMessage,
+};
 use loomlb_hot_restart::state_machine::{self, PredecessorAction, Successor};
 use loomlb_policy::{Event, Message, Nanos, SlotUsage as Held, WorkerId, ZoneId};
 use loomlb_sockets::error_kind::{ConnectErrorKind, classify_connect_error};
 use loomlb_sockets::{AcceptRetry, OnAddressInUse, OpenRetry};
+use open_requests::RequestsElsewhere;
 use serde::Deserialize;
 use snapshot::Snapshot;
 use std::cell::{Cell, RefCell};
@@ -26,6 +29,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 
+pub mod open_requests;
 mod snapshot;
 
 /// Time limit for an expected message of another process.
@@ -45,13 +49,35 @@
     link: Link,
     /// Whether it is the successor of this process, not its predecessor.
     is_successor: bool,
+    /// Whether it shares the ids of its open requests, and answers requests about ids.
+    shares_ids: bool,
+    /// The open requests that were last sent to it.
+    open_requests_sent: RefCell<Vec<OpenRequest>>,
     /// The resources that it holds, as last reported.
     holds: RefCell<ResourceUsage>,
 }
 
 impl OtherProcess {
-    fn new(link: Link, is_successor: bool) -> Rc<OtherProcess> {
-        Rc::new(OtherProcess { link, is_successor, holds: RefCell::default() })
+    fn new(link: Link, is_successor: bool, shares_ids: bool) -> Rc<OtherProcess> {
+        Rc::new(OtherProcess {
+            link,
+            is_successor,
+            shares_ids,
+            open_requests_sent: RefCell::default(),
+            holds: RefCell::default(),
+        })
+    }
+
+    /// Sends the open requests of this process to a successor that shares ids, unless they are the same as before.
+    fn send_open_requests(&self, scheduler: &Scheduler) {
+        if !self.is_successor || !self.shares_ids {
+            return;
+        }
+        let open_requests = open_requests::open_requests(scheduler);
+        if *self.open_requests_sent.borrow() != open_requests {
+            self.link.send(&RestartMessage::OpenRequests(open_requests.clone()), None);
+            self.open_requests_sent.replace(open_requests);
+        }
     }
 
     /// Hands over an idle connection of a client.
@@ -93,6 +119,8 @@
     pub accepting_changed: Notify,
     /// Notifies idle connections that they must be handed over.
     pub hand_over_idle: Notify,
+    /// Requests that predecessors have open, or have been granted to admit.
+    open_elsewhere: RefCell<RequestsElsewhere>,
     /// Unanswered queries by number.
     queries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     /// The number of the next query or report to the module.
@@ -117,6 +145,7 @@
             processes: RefCell::default(),
             accepting_changed: Notify::new(),
             hand_over_idle: Notify::new(),
+            open_elsewhere: RefCell::default(),
             queries: RefCell::default(),
             next_number: Cell::new(0),
             listener_task: RefCell::default(),
@@ -213,7 +242,7 @@
 /// Sends the greeting and waits for the snapshot.
 async fn request_snapshot(path: &Path) -> io::Result<Predecessor> {
     let link = Link::new(connect(path).await?);
-    link.send(&RestartMessage::Hello { version: PROTOCOL_VERSION }, None);
+    link.send(&RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids: true }, None);
     let mut inbox = ReceiveBuffer::default();
     let (message, peer_socket) = tokio::select! {
         received = link.receive(&mut inbox) => received?,
@@ -243,12 +272,14 @@
 
 /// Starts from the predecessor's snapshot if there is one, otherwise from the configuration.
 pub fn start(scheduler: &Rc<Scheduler>, predecessor: Option<Predecessor>) {
-    let Some(Predecessor { link, inbox, snapshot, peer_socket: _ }) = predecessor else {
+    let Some(Predecessor { link, inbox, mut snapshot, peer_socket: _ }) = predecessor else {
         discovery::start_from_config(scheduler);
         return open_socket(scheduler);
     };
+    let open_requests = snapshot.open_requests.take();
     snapshot.restore(scheduler);
-    let process = OtherProcess::new(link, false);
+    let process = OtherProcess::new(link, false, open_requests.is_some());
+    open_requests::record(scheduler, open_requests.unwrap_or_default());
     let mut state = scheduler.upgrade.as_successor.get();
     if state.on_restored() {
         process.link.send(&RestartMessage::Ready, None);
@@ -320,15 +351,17 @@
 /// Handles the greeting of a starting process.
 async fn greet_successor(scheduler: Rc<Scheduler>, link: Link) {
     let mut inbox = ReceiveBuffer::default();
-    let Ok(Ok((RestartMessage::Hello { version }, _))) =
+    let Ok(Ok((RestartMessage::Hello { version, shares_ids }, _))) =
         tokio::time::timeout(MESSAGE_TIMEOUT, link.receive(&mut inbox)).await
     else {
         return;
     };
     match scheduler.upgrade.update_predecessor_state(|state| state.on_hello(version)) {
         PredecessorAction::SendSnapshot => {
-            let process = OtherProcess::new(link, true);
-            match serde_json::to_value(Snapshot::of(&scheduler)) {
+            let process = OtherProcess::new(link, true, shares_ids);
+            let open_requests = shares_ids.then(|| open_requests::open_requests(&scheduler));
+            process.open_requests_sent.replace(open_requests.clone().unwrap_or_default());
+            match serde_json::to_value(Snapshot::of(&scheduler, open_requests)) {
                 Ok(value) => {
                     tracing::info!("upgrade: sending a snapshot to a successor");
                     process.link.send(&RestartMessage::Snapshot(value), scheduler.peers.descriptor());
@@ -361,6 +394,7 @@
     spawn_local(async move {
         while !receiver.link.is_closed() {
             receiver.link.send(&RestartMessage::Usage(local_holds(&reporter)), None);
+            receiver.send_open_requests(&reporter);
             tokio::time::sleep(HOLDS_INTERVAL).await;
         }
     });
@@ -400,6 +434,7 @@
         }
         return;
     }
+    open_requests::forget_repeatable(&scheduler);
     match error {
         None => tracing::info!("upgrade: the predecessor has finished"),
         Some(e) => tracing::warn!("upgrade: lost the predecessor: {e}"),
@@ -424,12 +459,16 @@
         {
             tracing::info!("upgrade: handed over, {} flows to finish", scheduler.book.borrow().unanswered());
             scheduler.upgrade.accepting_changed.notify_one();
+            process.send_open_requests(scheduler);
             process.link.send(&RestartMessage::Committed, None);
             for (to, descriptor, since) in scheduler.pool.take_all_idle() {
                 process.hand_over_target(scheduler, to, descriptor, since);
             }
             scheduler.upgrade.hand_over_idle.notify_waiters();
         }
+        (RestartMessage::OpenRequests(requests), _) if !process.is_successor => {
+            open_requests::record(scheduler, requests);
+        }
         (RestartMessage::Committed, _)
             if !process.is_successor && !scheduler.upgrade.as_successor.get().accepts_connections() =>
         {
@@ -453,6 +492,20 @@
             }
         }
         (RestartMessage::Usage(holds), _) => report_holds(scheduler, process, holds),
+        (RestartMessage::Request(number, ForwardedRequest::IsOpen(id)), _) => {
+            let (scheduler, process) = (Rc::clone(scheduler), Rc::clone(process));
+            spawn_local(async move {
+                let is_open = open_requests::is_open(&scheduler, &id).await;
+                process.link.send(&RestartMessage::Response(number, is_open), None);
+            });
+        }
+        (RestartMessage::Request(number, ForwardedRequest::ClaimId(request)), _) => {
+            let (scheduler, process) = (Rc::clone(scheduler), Rc::clone(process));
+            spawn_local(async move {
+                let granted = open_requests::grant_claim(&scheduler, request).await;
+                process.link.send(&RestartMessage::Response(number, granted), None);
+            });
+        }
         (RestartMessage::Request(number, ask), _) => {
             let accepted = match &ask {
                 ForwardedRequest::Admin(method, path) => {
@@ -462,6 +515,8 @@
                 ForwardedRequest::CallBack(body) => {
                     relay::handle_call_back(scheduler, body.as_bytes()) == CallBackResult::Accepted
                 }
+                // Answered above.
+                ForwardedRequest::IsOpen(_) | ForwardedRequest::ClaimId(_) => false,
             };
             let (scheduler, process) = (Rc::clone(scheduler), Rc::clone(process));
             spawn_local(async move {
@@ -506,17 +561,31 @@
     );
 }
 
-/// Sends a query to all other processes but `except`. Returns whether one of them accepted it, or none if
-/// none did and at least one did not answer.
+/// Sends a query to all other processes that can decode it, but `except`. Returns whether one of them accepted it, or none
+/// if none did and at least one did not answer.
 pub async fn query_others(
     scheduler: &Rc<Scheduler>,
     ask: &ForwardedRequest,
     except: Option<&Rc<OtherProcess>>,
 ) -> Option<bool> {
-    let others = scheduler.upgrade.processes.borrow().clone();
-    let others = others.iter().filter(|p| !except.is_some_and(|b| Rc::ptr_eq(b, p)));
+    let is_asked = |process: &Rc<OtherProcess>| {
+        !except.is_some_and(|exempt| Rc::ptr_eq(exempt, process))
+            && (process.shares_ids || !ask.needs_shared_ids())
+    };
+    let mut others = scheduler.upgrade.processes.borrow().clone();
+    others.retain(is_asked);
+    query(scheduler, ask, &others).await
+}
+
+/// Sends a query to these processes. Returns whether one of them accepted it, or none if none did and at least one did not
+/// answer.
+async fn query(
+    scheduler: &Rc<Scheduler>,
+    ask: &ForwardedRequest,
+    processes: &[Rc<OtherProcess>],
+) -> Option<bool> {
     let mut answers = Vec::new();
-    for process in others {
+    for process in processes {
         if scheduler.upgrade.queries.borrow().len() >= MAX_QUERIES {
             return None;
         }
@@ -578,6 +647,7 @@
     }
     scheduler.upgrade.goodbye_sent.set(true);
     if let Some(successor) = scheduler.upgrade.successor() {
+        successor.send_open_requests(scheduler);
         successor.link.send(&RestartMessage::Bye, None);
         let _ = tokio::time::timeout(ANSWER_TIMEOUT, successor.link.wait_flushed()).await;
     }
--- a/crates/scheduler/src/upgrade/snapshot.rs
+++ b/crates/scheduler/src/upgrade/snapshot.rs
@@ -14,6 +14,7 @@
 use super::super::worker_starts::WorkerStarts;
 use loomlb_control::lifecycle::LifecycleState;
 use loomlb_control::overrides::WorkerOverrides;
+use loomlb_hot_restart::message::OpenRequest;
 use loomlb_policy::raw_settings::SettingNames;
 use loomlb_policy::{LearnedState, Nanos, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -43,11 +44,15 @@
     /// When the listed workers started; missing from the previous build.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     worker_starts: Option<WorkerStarts>,
+    /// The requests that the sender has open, for a successor that shares ids. It gets them once more when connections
+    /// are handed over; these are for a sender that does not hand over in time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) open_requests: Option<Vec<OpenRequest>>,
 }
 
 impl Snapshot {
-    /// Takes a snapshot of a scheduler.
-    pub(super) fn of(scheduler: &Scheduler) -> Snapshot {
+    /// Takes a snapshot of a scheduler. `open_requests` are those that it has open, for a successor that shares ids.
+    pub(super) fn of(scheduler: &Scheduler, open_requests: Option<Vec<OpenRequest>>) -> Snapshot {
         let settings = scheduler.settings();
         let names = &settings.names;
         Snapshot {
@@ -65,6 +70,7 @@
             discovery: scheduler.target_group.reloaded_address(),
             clock: Some(scheduler.clock.offset()),
             worker_starts: Some(scheduler.target_group.starts_for_successor(scheduler.clock.now())),
+            open_requests,
         }
     }
 
--- a/tests/pins/restart.rs
+++ b/tests/pins/restart.rs
@@ -39,9 +39,9 @@
 }
 
 /// Requests the snapshot of the running process.
-fn request_snapshot(platform: &Platform) -> Value {
+fn request_snapshot(platform: &Platform, shares_ids: bool) -> Value {
     let mut connection = RestartConnection::new(UnixStream::connect(platform.restart_socket()).unwrap());
-    connection.send(&RestartMessage::Hello { version: PROTOCOL_VERSION });
+    connection.send(&RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids });
     match connection.receive() {
         RestartMessage::Snapshot(value) => value,
         other => panic!("{other:?}"),
@@ -79,7 +79,7 @@
     stage.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"r"}"#);
     client.receive();
     stage.control_request("PUT /control/out-of-service");
-    let mut value = request_snapshot(&platform);
+    let mut value = request_snapshot(&platform, false);
     // The order of the entries is not defined.
     for list in ["/list/hosts", "/carried/workers"] {
         let entries = value.pointer_mut(list).and_then(Value::as_array_mut).unwrap();
@@ -91,6 +91,22 @@
     golden::check("snapshot.txt", text.as_bytes());
 }
 
+/// Covers the part of the snapshot that only a successor which shares ids receives.
+#[test]
+fn the_snapshot_names_open_requests_for_a_successor_that_shares_ids() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let stage = SchedulerProcess::start_on_platform(&[&target], &discovery, &platform);
+    stage.wait_until_ready();
+    let mut client = stage.connect();
+    client.send(&job("lodge", "a1", "3.000"));
+    let mut forward = target.accept();
+    forward.receive();
+    let mut value = request_snapshot(&platform, true)["open_requests"].take();
+    assert!(value[0]["deadline"].take().is_u64());
+    assert_eq!(value.to_string(), r#"[{"at_most_once":true,"deadline":null,"id":"a1"}]"#);
+}
+
 /// Covers the path and the content of the configuration that is saved for a successor.
 #[test]
 fn the_configuration_saved_for_a_successor_is_the_active_one() {
@@ -139,7 +155,10 @@
     let predecessor = std::thread::spawn(move || {
         let (stream, _) = listener.accept().unwrap();
         let mut connection = RestartConnection::new(stream);
-        assert_eq!(connection.receive(), RestartMessage::Hello { version: PROTOCOL_VERSION });
+        assert_eq!(
+            connection.receive(),
+            RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids: true }
+        );
         connection.send(&RestartMessage::Snapshot(sent_snapshot));
         while connection.receive() != RestartMessage::Ready {}
         connection.send(&RestartMessage::Committed);
@@ -162,7 +181,7 @@
     let mut own_snapshot = Value::Null;
     wait_until("the successor opens its own hot-restart socket", || {
         if platform.restart_socket().exists() && UnixStream::connect(platform.restart_socket()).is_ok() {
-            own_snapshot = request_snapshot(&platform);
+            own_snapshot = request_snapshot(&platform, false);
         }
         !own_snapshot.is_null()
     });
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -79,6 +79,134 @@
     assert!(third.control_request("GET /control/ready").contains(r#""workers_out":["s-00000002"]"#));
 }
 
+/// Reads a job on a new connection to a target, accepts it and closes the connection.
+fn accept_on_new_connection(target: &Server, id: &str) {
+    let mut connection = target.accept();
+    assert!(connection.receive().contains(id));
+    connection.send(&response("202 Accepted\r\nConnection: close", ""));
+}
+
+/// Starts a successor on the platform and waits until it accepts connections.
+fn replace_process(target: &Server, discovery: &Server, platform: &Platform) -> SchedulerProcess {
+    let successor = SchedulerProcess::start_on_platform(&[target], discovery, platform);
+    successor.wait_until_ready();
+    successor
+}
+
+const IN_USE: &str = "HTTP/1.1 400 Bad Request | id already in use";
+
+/// A successor admitted ids that its predecessor had open: their jobs ran a second time, and the results went to the wrong
+/// client. Holds for every class, for requests admitted before and after the snapshot, and over two hot restarts.
+#[test]
+fn an_id_that_a_predecessor_has_open_is_in_use_at_its_successors() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let first = SchedulerProcess::start_on_platform(&[&target], &discovery, &platform);
+    first.wait_until_ready();
+    let mut clients = Vec::new();
+    for (class, id) in [("lodge", "a1"), ("view", "a2")] {
+        let mut client = first.connect();
+        client.send(&job(class, id, "4.900"));
+        accept_on_new_connection(&target, id);
+        clients.push((client, id));
+    }
+    let second = replace_process(&target, &discovery, &platform);
+    for (class, id) in [("lodge", "a1"), ("view", "a2"), ("view", "a1"), ("lodge", "a2")] {
+        assert_eq!(second.request(&job(class, id, "3.000")), IN_USE, "{class} {id}");
+    }
+    let third = replace_process(&target, &discovery, &platform);
+    for (class, id) in [("lodge", "a1"), ("view", "a2")] {
+        assert_eq!(third.request(&job(class, id, "3.000")), IN_USE, "{class} {id}");
+    }
+    assert_eq!(third.counters(&["flows", "forwards"]), "flows=0 forwards=0");
+    for (mut client, id) in clients {
+        assert!(third.call_back(&done_call_back(&target, id)).ends_with("noted"));
+        assert!(client.receive_response().ends_with(id));
+    }
+}
+
+/// A request that the predecessor has answered may be sent again at once, as clients do after a 503, although the last list
+/// of open requests may still name it.
+#[test]
+fn an_id_is_free_at_the_successor_as_soon_as_the_predecessor_has_answered() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let predecessor = SchedulerProcess::start_on_platform(&[&target], &discovery, &platform);
+    predecessor.wait_until_ready();
+    let (mut waiting, mut other) = (predecessor.connect(), predecessor.connect());
+    for (client, id) in [(&mut waiting, "a1"), (&mut other, "a2")] {
+        client.send(&job("lodge", id, "4.900"));
+        accept_on_new_connection(&target, id);
+    }
+    let successor = replace_process(&target, &discovery, &platform);
+    for round in 0..5 {
+        // Answered by the predecessor in the first round and by the successor in later ones.
+        assert!(successor.call_back(&done_call_back(&target, "a1")).ends_with("noted"));
+        assert!(waiting.receive_response().ends_with("a1"), "round {round}");
+        waiting = successor.connect();
+        waiting.send(&job("lodge", "a1", "4.900"));
+        accept_on_new_connection(&target, "a1");
+    }
+    assert_eq!(successor.request(&job("lodge", "a2", "3.000")), IN_USE);
+}
+
+/// A request whose first part has arrived at the predecessor when it hands over is admitted there. The successor must know
+/// its id as well, and the predecessor must not admit one that the successor has open.
+#[test]
+fn a_request_that_arrives_in_parts_over_a_handover_shares_ids_with_the_successor() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let predecessor = SchedulerProcess::start_on_platform(&[&target], &discovery, &platform);
+    predecessor.wait_until_ready();
+    let requests = [job("lodge", "a1", "4.900"), job("lodge", "b1", "4.900")];
+    let mut halves: Vec<HttpConnection> = Vec::new();
+    for request in &requests {
+        let mut client = predecessor.connect();
+        client.send(&request[..request.len() - 1]);
+        halves.push(client);
+    }
+    // The connections are no longer idle once the requests have been received in part.
+    std::thread::sleep(Duration::from_millis(50));
+    let successor = replace_process(&target, &discovery, &platform);
+    let mut usual = successor.connect();
+    usual.send(&requests[1]);
+    accept_on_new_connection(&target, "b1");
+    halves[1].send("i");
+    assert_eq!(halves[1].receive_response(), IN_USE, "the predecessor admits an id of the successor");
+    halves[0].send("i");
+    accept_on_new_connection(&target, "a1");
+    assert_eq!(successor.request(&requests[0]), IN_USE, "the successor admits an id of the predecessor");
+    for (client, id) in [(&mut halves[0], "a1"), (&mut usual, "b1")] {
+        assert!(successor.call_back(&done_call_back(&target, id)).ends_with("noted"));
+        assert!(client.receive_response().ends_with(id));
+    }
+}
+
+/// When the predecessor is killed its jobs may still run: an at-most-once one must not be started again, others may be.
+#[test]
+fn after_a_predecessor_is_killed_only_ids_that_must_not_run_twice_stay_in_use() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let platform = Platform::new();
+    let predecessor = SchedulerProcess::start_on_platform(&[&target], &discovery, &platform);
+    predecessor.wait_until_ready();
+    let mut clients = Vec::new();
+    for (class, id) in [("lodge", "a1"), ("view", "a2")] {
+        let mut client = predecessor.connect();
+        client.send(&job(class, id, "4.900"));
+        accept_on_new_connection(&target, id);
+        clients.push(client);
+    }
+    let successor = replace_process(&target, &discovery, &platform);
+    drop(predecessor);
+    successor.wait_for_log("lost the predecessor");
+    assert_eq!(successor.request(&job("lodge", "a1", "3.000")), IN_USE);
+    let mut retry = successor.connect();
+    retry.send(&job("view", "a2", "3.000"));
+    accept_on_new_connection(&target, "a2");
+    assert!(successor.call_back(&done_call_back(&target, "a2")).ends_with("noted"));
+    assert!(retry.receive_response().ends_with("a2"));
+}
+
 #[test]
 fn the_predecessor_accepts_again_when_its_successor_dies() {
     let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
@@ -125,7 +253,7 @@
             frames.push(&buffer[..length]);
             assert_eq!(
                 frames.next_message(),
-                Ok(Some((RestartMessage::Hello { version: PROTOCOL_VERSION }, false)))
+                Ok(Some((RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids: true }, false)))
             );
             stream.write_all(&reply).unwrap();
             // Stays silent until the starting process closes the connection.
