A shutdown counts the deadlines of the classes in force, not of dropped ones

Seen: a reload drops lodge (3 s; the others 1 s).

Cause: a reload keeps the entry of a class that is dropped or replaced, as open requests may use its number, and only makes its name unusable. The longest client timeout was taken over all entries.

Change: the longest client timeout counts entries with a usable name. Open requests of an earlier class do not make it longer: the platform kills by the file in force, and what arrived within 0.7 s of SIGTERM or before is not charged.

The new test tries a shorter, a replaced and a dropped class, each with and without an open request: on the untouched build four of the six fail (answers 2.0 s after SIGTERM, kill at 1.7 s), now none. The reverse, a reload with a longer deadline, passed before too.

--- a/crates/scheduler/src/runtime_settings.rs
+++ b/crates/scheduler/src/runtime_settings.rs
@@ -20,9 +20,12 @@
 }
 
 impl RuntimeSettings {
-    /// Returns the longest client timeout of all classes.
+    /// Returns the longest client timeout of the classes that requests can name. The platform counts these alone, also
+    /// while requests of an earlier class are open.
     pub fn longest_client_timeout(&self) -> Nanos {
-        self.policy.classes.iter().map(|c| c.client_timeout).max().unwrap_or(0)
+        let classes = self.names.classes.iter().zip(&self.policy.classes);
+        let in_force = classes.filter(|(name, _)| *name != UNUSED_NAME);
+        in_force.map(|(_, class)| class.client_timeout).max().unwrap_or(0)
     }
 
     /// Returns the latency objective of each class.
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -251,3 +251,82 @@
     send_job(&stage, "c2", "sign");
     assert_snapshot!(stage.counters(&["reloads", "reload_faults", "panics"]), @"reloads=3 reload_faults=5 panics=0");
 }
+
+/// The classes `view`, for which clients wait 1 s, and `lodge`, for which they wait 3 s.
+const VIEW_OF_1_S_AND_LODGE_OF_3_S: [(&str, &str); 2] = [
+    (r#""name":"view","aim":900000000,"give_up":5000000000"#, VIEW_OF_1_S),
+    (r#""name":"lodge","aim":900000000,"give_up":5000000000"#, LODGE_OF_3_S),
+];
+const VIEW_OF_1_S: &str = r#""name":"view","aim":900000000,"give_up":1000000000"#;
+const LODGE_OF_3_S: &str = r#""name":"lodge","aim":900000000,"give_up":3000000000"#;
+
+/// After SIGTERM the process reckoned with the deadline of a class that a reload had dropped or changed, took jobs for too
+/// long, and the kill found them unanswered. Also with requests of the old class open at the reload.
+#[test]
+fn a_shutdown_keeps_to_the_longest_deadline_in_force_after_a_reload() {
+    /// The kill comes after the longest deadline and 0.7 s.
+    const KILL: Duration = Duration::from_millis(1_000 + 700);
+    let lodge_entry = format!(",\n{{{LODGE_OF_3_S},\"worth\":1.0,\"effect\":\"at_most_once\"}}");
+    let shorter = lodge_entry.replace("3000000000", "1000000000");
+    let replaced = shorter.replace("lodge", "sign");
+    let changes = [("shorter", shorter), ("replaced", replaced), ("dropped", String::new())];
+    std::thread::scope(|scope| {
+        for ((change, new_entry), request_is_open) in
+            changes.iter().flat_map(|change| [(change, false), (change, true)])
+        {
+            let lodge_entry = &lodge_entry;
+            scope.spawn(move || {
+                let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+                let mut scheduler = SchedulerProcess::start_with_changes(
+                    &[&target],
+                    &discovery,
+                    &VIEW_OF_1_S_AND_LODGE_OF_3_S,
+                );
+                let (mut open, mut late) = (scheduler.connect(), scheduler.connect());
+                let mut forward = None;
+                if request_is_open {
+                    open.send(&job("lodge", "a1", "3.000"));
+                    forward.insert(target.accept()).receive();
+                }
+                late.send("GET /healthz HTTP/1.1\r\n\r\n");
+                assert!(late.receive_response().ends_with("ready"));
+                scheduler.reload(lodge_entry, new_entry);
+                scheduler.wait_for_log("configuration reloaded");
+                let terminated = Instant::now();
+                scheduler.signal("TERM");
+                std::thread::sleep(Duration::from_millis(1_000));
+                late.send(&job("view", "a2", "1.000"));
+                let answer = late.receive_response();
+                assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+                assert!(
+                    terminated.elapsed() < KILL,
+                    "{change}, open {request_is_open}: answered after {:?}",
+                    terminated.elapsed()
+                );
+            });
+        }
+    });
+}
+
+/// The same for a reload that makes the longest deadline longer: jobs are taken for as long as the kill allows.
+#[test]
+fn a_shutdown_takes_jobs_for_longer_after_a_reload_with_a_longer_deadline() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let mut scheduler =
+        SchedulerProcess::start_with_changes(&[&target], &discovery, &VIEW_OF_1_S_AND_LODGE_OF_3_S);
+    scheduler.reload(LODGE_OF_3_S, &LODGE_OF_3_S.replace("3000000000", "1000000000"));
+    scheduler.wait_for_log("configuration reloaded");
+    scheduler.reload(VIEW_OF_1_S, &VIEW_OF_1_S.replace("1000000000", "3000000000"));
+    scheduler.wait_for_log("configuration reloaded");
+    let mut late = scheduler.connect();
+    late.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(late.receive_response().ends_with("ready"));
+    scheduler.signal("TERM");
+    std::thread::sleep(Duration::from_millis(2_000));
+    late.send(&job("view", "a1", "1.000"));
+    let mut forward = target.accept();
+    assert!(forward.receive().contains("a1"));
+    forward.send(&response("202 Accepted", ""));
+    scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"a1"}"#);
+    assert!(late.receive_response().ends_with("a1"));
+}
