A reload also tells the shutdown whether this is the only scheduler

Whether other schedulers serve the clients was read at the start alone, so one that a reload had made the only one refused jobs from 2.2 s after SIGTERM, though the kill left time up to 3.3 s, and clients had nowhere else to go.

Change: Lifecycle::reconfigure takes both values at a reload; a shutdown that has started keeps its times, as before.

--- a/crates/control/src/lifecycle.rs
+++ b/crates/control/src/lifecycle.rs
@@ -64,10 +64,12 @@
         self.state
     }
 
-    /// Sets the longest time that a client waits. The times of a shutdown that has already started do not change.
-    pub fn set_longest_wait(&mut self, longest_wait: Nanos) {
+    /// Sets the longest time that a client waits, and whether no other scheduler serves the clients. The times of a shutdown
+    /// that has already started do not change.
+    pub fn reconfigure(&mut self, longest_wait: Nanos, is_only_scheduler: bool) {
         if !self.is_shutting_down() {
             self.longest_wait = longest_wait;
+            self.is_only_scheduler = is_only_scheduler;
         }
     }
 
@@ -198,7 +200,7 @@
         lifecycle.start_drain(0);
         assert!(lifecycle.start_shutdown(100 * MS) && !lifecycle.start_shutdown(200 * MS));
         assert!(!lifecycle.end_drain() && !lifecycle.start_drain(300 * MS));
-        lifecycle.set_longest_wait(1);
+        lifecycle.reconfigure(1, true);
         assert_eq!(lifecycle.closes_at(), Some(2_300 * MS));
         assert_eq!(lifecycle.answer_deadline(), Some(3_600 * MS));
         let mut only_scheduler = Lifecycle::new(5_000 * MS, true);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -149,10 +149,7 @@
         book: RefCell::default(),
         target_group: discovery::TargetGroup::default(),
         orders: RefCell::default(),
-        shutdown: shutdown::Shutdown::new(
-            settings.longest_client_timeout(),
-            settings.policy.dispatcher_count <= 1,
-        ),
+        shutdown: shutdown::Shutdown::new(settings.longest_client_timeout(), settings.is_only_scheduler()),
         upgrade: upgrade::Upgrade::new(&config, predecessor.is_some()),
         settings: RefCell::new(settings),
         clock,
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -76,7 +76,9 @@
     drop(book);
     let changed = origins.iter().filter(|start| **start != ClassOrigin::Kept).count();
     scheduler.pool.set_keepalive(next.network.keepalive);
-    scheduler.shutdown.update_service(|service| service.set_longest_wait(next.longest_client_timeout()));
+    scheduler.shutdown.update_service(|service| {
+        service.reconfigure(next.longest_client_timeout(), next.is_only_scheduler());
+    });
     scheduler.quotas.add_classes(&next.latency_objectives());
     let settings = Box::new(next.policy.clone());
     *scheduler.settings.borrow_mut() = Rc::new(next);
--- a/crates/scheduler/src/runtime_settings.rs
+++ b/crates/scheduler/src/runtime_settings.rs
@@ -28,6 +28,11 @@
         in_force.map(|(_, class)| class.client_timeout).max().unwrap_or(0)
     }
 
+    /// Returns whether no other scheduler serves the clients.
+    pub fn is_only_scheduler(&self) -> bool {
+        self.policy.dispatcher_count <= 1
+    }
+
     /// Returns the latency objective of each class.
     pub fn latency_objectives(&self) -> Vec<Nanos> {
         self.policy.classes.iter().map(|c| c.latency_objective).collect()
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -330,3 +330,29 @@
     scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"a1"}"#);
     assert!(late.receive_response().ends_with("a1"));
 }
+
+/// A scheduler that a reload had made the only one still left half of the time before the kill to other schedulers, and
+/// refused what it could have served.
+#[test]
+fn a_shutdown_of_a_scheduler_that_a_reload_made_the_only_one_takes_jobs_to_the_last_moment() {
+    let (discovery, target) = (Server::new("d"), Server::new("s-00000001"));
+    let mut scheduler = SchedulerProcess::start_with_changes(
+        &[&target],
+        &discovery,
+        &[("\"balancers\":1", "\"balancers\":2")],
+    );
+    scheduler.reload("\"balancers\":2", "\"balancers\":1");
+    scheduler.wait_for_log("configuration reloaded");
+    let mut late = scheduler.connect();
+    late.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(late.receive_response().ends_with("ready"));
+    scheduler.signal("TERM");
+    // Between half of the 3 s that count and the 3.3 s up to which the only scheduler takes jobs.
+    std::thread::sleep(Duration::from_millis(2_700));
+    late.send(&job("view", "a1", "1.000"));
+    let mut forward = target.accept();
+    assert!(forward.receive().contains("a1"));
+    forward.send(&response("202 Accepted", ""));
+    scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"a1"}"#);
+    assert!(late.receive_response().ends_with("a1"));
+}
