Comments: put back reasons and numbers that the rewording had dropped

Compared: every comment before a constant in the scheduler, the decision module, quotas, control, the tier and its cores, and the longer comments of the decision module, http, discovery, send, upgrade and relay. Nearly all kept their facts; thirteen places had not.

--- a/crates/control/src/overrides.rs
+++ b/crates/control/src/overrides.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Limit of the overrides kept; further workers cannot be taken offline.
+/// Limit of the overrides kept; further workers cannot be taken offline. Reaching it takes as many workers offline at
+/// once.
 const MAX_OVERRIDES: usize = 100_000;
 
 /// The latest override of a worker.
--- a/crates/policy/src/completion_estimator.rs
+++ b/crates/policy/src/completion_estimator.rs
@@ -15,7 +15,8 @@
 const QUEUE_DRAIN_RATE: f64 = 0.15;
 /// Keys that a worker is assumed to have cached: those of the last own jobs that it served.
 const CACHED_KEYS: usize = 6;
-/// A running job replaces the mean once it has taken this many times the expected time.
+/// A running job replaces the mean once it has taken this many times the expected time: it shows that the
+/// worker's pace has changed.
 const OVERDUE_FACTOR: f64 = 1.5;
 /// Round trip with a new connection, in nanoseconds, before one has been measured.
 const INITIAL_ROUND_TRIP_NS: f64 = 5e7;
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -55,7 +55,8 @@
 /// Fraction of a worker's slots that a request without worth leaves free.
 const RESERVED_SLOT_SHARE: f64 = 0.2;
 
-/// Longest delay before a failed request for the worker list is repeated.
+/// Longest delay before a failed request for the worker list is repeated. What it would have brought counts
+/// as known soon after.
 const MAX_LIST_RETRY_DELAY_NS: f64 = 1e9;
 
 /// Timer token: request the worker list.
@@ -745,7 +746,8 @@
     }
 
     /// Returns the fraction of workers, by affinity, that a job may go to. It starts with about one worker,
-    /// which likely has the data of the key cached, and widens to all of them.
+    /// which likely has the data of the key cached, and widens to all of them. Workers that serve few keys
+    /// keep their data for longer.
     fn affinity_range(&self, job: &Job) -> f64 {
         let bound_time = job.latest_start.saturating_sub(job.arrived_at) as f64 * AFFINITY_SLACK_SHARE;
         let left = 1.0 - self.now.saturating_sub(job.arrived_at) as f64 / bound_time.max(1.0);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -13,7 +13,8 @@
 
 /// Assumed running time of a class before its first job has ended, as a fraction of its client timeout.
 const INITIAL_RUN_TIME_SHARE: f64 = 0.0625;
-/// Weight of the assumed running time in jobs, where an estimate that is too low does harm.
+/// Weight of the assumed running time in jobs, where an estimate that is too low does harm. It counts the
+/// less the more jobs have ended.
 const ASSUMED_JOBS: f64 = 2.0;
 /// Weight of a further job in the mean running time of its class, at least.
 const MIN_JOB_WEIGHT: f64 = 0.03;
--- a/crates/quota/src/core.rs
+++ b/crates/quota/src/core.rs
@@ -15,9 +15,11 @@
 /// A bucket's level falls at most this many times its capacity below zero. It falls below zero when a job takes more
 /// work than estimated.
 const MAX_OVERDRAFT_FACTOR: f64 = 8.0;
-/// Shortest time after which a refused request is told to retry, where no window gives a time.
+/// Shortest time after which a refused request is told to retry, where no window gives a time. The longest is four times
+/// this.
 const MIN_RETRY_AFTER: Nanos = 50_000_000;
-/// Loans from a bucket that fills more slowly than this, in units per second, are credited to no lender.
+/// Loans from a bucket that fills more slowly than this, in units per second, are credited to no lender: none of those that
+/// fill it is worth a credit.
 const MIN_LENDING_FILL_RATE: f64 = 1e-3;
 /// Smaller differences are treated as rounding errors.
 const ROUNDING_TOLERANCE: f64 = 1e-9;
--- a/crates/quota/src/share_split.rs
+++ b/crates/quota/src/share_split.rs
@@ -14,7 +14,7 @@
 const HEADER_BYTES: usize = 3;
 /// Length of an entry, in bytes: the node number and its traffic.
 const ENTRY_BYTES: usize = 8;
-/// Maximum number of datagrams that are sent at a time. With more nodes, the datagrams rotate.
+/// Maximum number of datagrams that are sent at a time, for some 250 nodes. With more nodes, the datagrams rotate.
 const MAX_DATAGRAMS: usize = 8;
 /// Time constant of the traffic average, in nanoseconds.
 const AVERAGING_TIME_NS: f64 = 2e9;
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -18,7 +18,7 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// File descriptors reserved for the control listener and its connections.
 const CONTROL_DESCRIPTORS: usize = 20;
-/// The smallest valid `limits.sockets`.
+/// The smallest valid `limits.sockets`; fewer descriptors would serve nobody.
 const MIN_SOCKETS: usize = 64;
 
 /// A validated configuration.
--- a/crates/scheduler/src/discovery.rs
+++ b/crates/scheduler/src/discovery.rs
@@ -28,6 +28,7 @@
 const OVERLOAD_TIMEOUT: Duration = Duration::from_millis(2400);
 /// Delay before another call is sent in parallel to an unanswered first call, at sites where an agent, which
 /// normally responds at once, pushes the list.
+/// A change counts as known there as soon as the agent has it, so a first call must not be waited for alone.
 const PARALLEL_CALL_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of parallel first calls.
 const MAX_PARALLEL_CALLS: usize = 4;
--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -25,7 +25,8 @@
 const MAX_PIPELINED_BYTES: usize = 8 * 1024;
 /// Ends the data of a chunk.
 const CHUNK_END: &[u8] = b"\r\n";
-/// Interval between checks whether a connection with more input than that is closed.
+/// Interval between checks whether a connection with more input than that is closed. A client that has gone must be
+/// noticed within 0.1 s.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Time limit of a lingering close.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -353,7 +354,8 @@
     }
 
     /// Waits until the peer closes or resets the connection. To bound memory, input beyond `MAX_PIPELINED_BYTES` is
-    /// discarded, at a limited rate. Cancel safe: no kept input is lost.
+    /// discarded, at a limited rate. It has to be read, as the close arrives behind it. Cancel safe: no kept input is
+    /// lost.
     pub async fn closed(&mut self) {
         while self.buffer.len() < MAX_PIPELINED_BYTES {
             if !matches!(self.fill().await, Ok(length) if length > 0) {
--- a/crates/scheduler/src/send.rs
+++ b/crates/scheduler/src/send.rs
@@ -97,7 +97,8 @@
     }
 
     /// Shortens the idle timeout of a target, one of whose connections broke when it was reused after being idle for
-    /// this long: something on the path had dropped it, and would drop others like it.
+    /// this long: something on the path had dropped it, and would drop others like it. The next ones are kept for half
+    /// of that time.
     fn shorten_idle_timeout(&self, worker: WorkerId, idle: Nanos, now: Nanos) {
         let idle_timeout = self.idle_timeout(worker, now).min(idle / 2);
         self.shortened_idle_timeouts.borrow_mut().insert(worker, (idle_timeout, now));
