--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -33,8 +33,8 @@
     /// The successor is ready to accept connections.
     #[serde(rename = "Ready")]
     Ready,
-    /// The requests that the predecessor has open. Sent before [`RestartMessage::Committed`] to a successor that shares
-    /// ids.
+    /// The requests that the predecessor has open, in place of those sent before. Sent to a successor that shares ids:
+    /// before [`RestartMessage::Committed`], and whenever they have changed.
     #[serde(rename = "Open")]
     OpenRequests(Vec<OpenRequest>),
     /// The predecessor has stopped accepting connections.
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -505,7 +505,7 @@
         return None;
     }
     let available = upgrade::open_requests::check_id(scheduler, &mut offer).await;
-    let mut admitted = match available.and_then(|_claim| admit(scheduler, offer)) {
+    let mut admitted = match available.and_then(|()| admit(scheduler, offer)) {
         Ok(admitted) => admitted,
         Err(Rejection::Invalid(reason)) => return Some(Reply::text(400, reason)),
         Err(Rejection::IdInUse) => return Some(Reply::text(400, "id already in use")),
