Memory of incomplete requests: an eviction ends with the request it is for

Need: found in reading the bound again. A connection that was to close for memory got the listener's close notification. If its request became complete in the same turn, the notification stayed: the connection was closed at its next rest or in its next request, and nothing made room in its place, as it still counted as about to close.

Change: the reservation has a signal of its own, which holds only while the request is incomplete. When a request is complete after all, those that wait for memory look for another connection.

Evidence: the new unit test fails without the change of finish_request (no other connection makes room) and passes with it.

--- a/crates/scheduler/src/http.rs
+++ b/crates/scheduler/src/http.rs
@@ -274,9 +274,15 @@
         }
     }
 
-    /// Whether the connection must close because its message takes memory that others need.
-    pub fn is_evicted(&self) -> bool {
-        self.memory.as_ref().is_some_and(ReceiveReservation::is_evicted)
+    /// Ends when the connection must close because its incomplete message takes memory that others need.
+    pub fn evicted(&self) -> impl Future<Output = ()> + use<> {
+        let evicted = self.memory.as_ref().map(ReceiveReservation::evicted);
+        async move {
+            match evicted {
+                Some(evicted) => evicted.await,
+                None => std::future::pending().await,
+            }
+        }
     }
 
     /// Drops input that is not part of a complete message, with its memory. The connection must not be read again.
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -306,7 +306,7 @@
     mut before_first_request: bool,
 ) {
     let scheduler = Rc::clone(&guard.scheduler);
-    let memory = scheduler.listener.receive_memory.reservation(Rc::clone(&guard.close));
+    let memory = scheduler.listener.receive_memory.reservation();
     let mut connection = Connection::new(stream).with_memory(memory);
     let started = Instant::now();
     loop {
@@ -350,9 +350,14 @@
         }
         guard.set_state(ConnectionState::Receiving(scheduler.clock.now()));
         let deadline = if before_first_request { started } else { Instant::now() } + REQUEST_TIMEOUT;
+        let evicted = connection.evicted();
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout_at(deadline, connection.read(MessageKind::Request)) => read.ok(),
+            () = evicted => {
+                scheduler.book.borrow_mut().counters.memory_evictions += 1;
+                None
+            }
             () = guard.close.notified() => None,
         };
         before_first_request = false;
@@ -373,11 +378,7 @@
             Some(Err(ReadError::Malformed)) => (Reply::text(400, "malformed request"), false),
             Some(Err(ReadError::HeadTooLarge)) => (Reply::text(431, "head too large"), false),
             Some(Err(ReadError::BodyTooLarge)) => (Reply::text(413, "body too large"), false),
-            None => {
-                let evicted = connection.is_evicted();
-                scheduler.book.borrow_mut().counters.memory_evictions += u64::from(evicted);
-                (Reply::text(408, "request not whole in time"), false)
-            }
+            None => (Reply::text(408, "request not whole in time"), false),
         };
         scheduler.book.borrow_mut().counters.count_invalid_request(reply.status);
         // While draining or shutting down, connections for call-backs stay open, as open flows need them; so do
--- a/crates/scheduler/src/receive_memory.rs
+++ b/crates/scheduler/src/receive_memory.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -36,10 +37,10 @@
     last_input: Cell<Instant>,
     /// Whether it is still sending a request.
     receiving: Cell<bool>,
-    /// Whether it was requested to close.
+    /// Whether it must close before its request is complete.
     evicted: Cell<bool>,
-    /// Notified to request that the connection closes.
-    close: Rc<Notify>,
+    /// Notified when `evicted` is set.
+    eviction: Notify,
 }
 
 impl ReceiveMemory {
@@ -59,15 +60,15 @@
         self.used.get()
     }
 
-    /// A reservation of nothing for a connection that closes when `close` is notified.
-    pub fn reservation(self: &Rc<Self>, close: Rc<Notify>) -> ReceiveReservation {
+    /// A reservation of nothing for a connection, which must close when [`ReceiveReservation::evicted`] ends.
+    pub fn reservation(self: &Rc<Self>) -> ReceiveReservation {
         let number = self.next_number.replace(self.next_number.get() + 1);
         let holder = Rc::new(Holder {
             counted: Cell::new(0),
             last_input: Cell::new(Instant::now()),
             receiving: Cell::new(false),
             evicted: Cell::new(false),
-            close,
+            eviction: Notify::new(),
         });
         self.holders.borrow_mut().insert(number, Rc::clone(&holder));
         ReceiveReservation { memory: Rc::clone(self), number, holder }
@@ -90,7 +91,7 @@
             let Some(victim) = candidates.min_by_key(|holder| holder.last_input.get()) else { return };
             remaining -= victim.counted.get();
             victim.evicted.set(true);
-            victim.close.notify_one();
+            victim.eviction.notify_waiters();
         }
     }
 }
@@ -115,16 +116,29 @@
         self.holder.receiving.set(true);
     }
 
-    /// Records that the connection has sent a complete request.
+    /// Records that the connection has sent a complete request. If it was about to close to make room, another one does.
     pub fn finish_request(&self) {
         self.holder.receiving.set(false);
+        if self.holder.evicted.replace(false) {
+            self.memory.released.notify_waiters();
+        }
     }
 
-    /// Whether the connection was requested to close in the middle of its request.
+    /// Whether the connection must close in the middle of its request.
     pub fn is_evicted(&self) -> bool {
         self.holder.evicted.get()
     }
 
+    /// Ends when the connection must close in the middle of its request.
+    pub fn evicted(&self) -> impl Future<Output = ()> + use<> {
+        let holder = Rc::clone(&self.holder);
+        async move {
+            while !holder.evicted.get() {
+                holder.eviction.notified().await;
+            }
+        }
+    }
+
     /// Waits until the connection may use this many bytes. Cancel safe.
     pub async fn resize(&self, bytes: usize) {
         let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
--- a/crates/scheduler/src/receive_memory/tests.rs
+++ b/crates/scheduler/src/receive_memory/tests.rs
@@ -3,18 +3,16 @@
 
 const KIB: usize = 1024;
 
-/// A connection that uses memory, and the notification that it must close.
+/// A connection that uses memory.
 struct Client {
     reservation: ReceiveReservation,
-    close: Rc<Notify>,
 }
 
 impl Client {
     fn new(memory: &Rc<ReceiveMemory>) -> Client {
-        let close = Rc::new(Notify::new());
-        let reservation = memory.reservation(Rc::clone(&close));
+        let reservation = memory.reservation();
         reservation.start_request();
-        Client { reservation, close }
+        Client { reservation }
     }
 
     /// Reserves memory beyond the part that does not count, or returns false if that has to wait.
@@ -38,7 +36,7 @@
     assert!(second.reservation.is_evicted() && !first.reservation.is_evicted());
     assert!(!third.reserve(30 * KIB).await, "the evicted connection still uses its memory");
     assert!(!first.reservation.is_evicted(), "a second connection is evicted for the same memory");
-    second.close.notified().await;
+    second.reservation.evicted().await;
     drop(second);
     assert!(third.reserve(30 * KIB).await);
     assert_eq!(memory.used(), 60 * KIB);
@@ -87,3 +85,24 @@
     drop(waiting);
     assert_eq!(memory.used(), 0);
 }
+
+/// A connection whose request was complete before it could close stayed marked: it did not make room, no other one did,
+/// and it was closed in its next request.
+#[tokio::test]
+async fn a_connection_that_completes_its_request_instead_of_closing_leaves_it_to_another_to_make_room() {
+    let memory = ReceiveMemory::new(32 * KIB);
+    let (completed, silent, waiting) = (Client::new(&memory), Client::new(&memory), Client::new(&memory));
+    for client in [&completed, &silent] {
+        assert!(client.reserve(16 * KIB).await);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let mut reserving = std::pin::pin!(waiting.reservation.resize(UNCOUNTED_BYTES + KIB));
+    assert!(tokio::time::timeout(Duration::from_millis(1), &mut reserving).await.is_err());
+    assert!(completed.reservation.is_evicted());
+    completed.reservation.finish_request();
+    assert!(tokio::time::timeout(Duration::from_millis(1), &mut reserving).await.is_err());
+    assert!(silent.reservation.is_evicted(), "no other connection makes room");
+    assert!(!completed.reservation.is_evicted(), "a complete request is given up");
+    let eviction = completed.reservation.evicted();
+    assert!(tokio::time::timeout(Duration::from_millis(1), eviction).await.is_err());
+}
--- a/tests/receive_memory.rs
+++ b/tests/receive_memory.rs
@@ -41,8 +41,8 @@
 /// A request that its client never completes.
 struct IncompleteRequest {
     kind: &'static str,
-    /// How many clients send one.
-    clients: usize,
+    /// Whether all of them together take more memory than there is for incomplete requests.
+    fills_memory: bool,
     text: String,
 }
 
@@ -50,7 +50,7 @@
 fn incomplete_requests(number: usize) -> Vec<IncompleteRequest> {
     let id = format!("bad-{number}");
     let cut = |text: String| text[..text.len() - 3].to_string();
-    let filling = |kind, text| IncompleteRequest { kind, clients: CLIENT_COUNT - 1, text };
+    let filling = |kind, text| IncompleteRequest { kind, fills_memory: true, text };
     let trailers: String = (0..15).map(|n| format!("T-{n}: {}\r\n", "x".repeat(1000))).collect();
     let call_back =
         format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {MAX_BODY}\r\n\r\n{}", "x".repeat(MAX_BODY));
@@ -62,7 +62,7 @@
         filling("trailers", chunked_request(&id, &[MAX_BODY]) + &trailers),
         filling("a sized body", cut(sized_request(&id, MAX_BODY))),
         filling("a call-back", cut(call_back)),
-        IncompleteRequest { kind: "a head", clients: FEW_CLIENTS, text: head },
+        IncompleteRequest { kind: "a head", fills_memory: false, text: head },
     ]
 }
 
@@ -110,35 +110,58 @@
     requests.map(send).collect()
 }
 
-/// Clients that stop in the middle of large requests took more memory than the limit, so that the process was killed. At
-/// the same time a client that sends a large body in parts must be served.
+/// Sends nearly all of a request, then single bytes until the flag is set, and then the rest.
+fn send_in_parts_until(client: &mut HttpConnection, request: &str, flag: &AtomicBool) {
+    const KEPT_BYTES: usize = 4096;
+    let (first, last) = request.split_at(request.len() - KEPT_BYTES);
+    client.send(first);
+    let mut sent = 0;
+    while !flag.load(Ordering::Relaxed) {
+        assert!(sent < KEPT_BYTES, "the flag is not set in time");
+        client.send(&last[sent..=sent]);
+        sent += 1;
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    client.send(&last[sent..]);
+}
+
+/// Clients that stop in the middle of large requests took more memory than the limit, so that the process was killed.
 #[test]
-fn incomplete_requests_of_any_kind_stay_within_the_memory_limit_and_do_not_displace_others() {
-    for (index, IncompleteRequest { kind, clients, .. }) in incomplete_requests(0).into_iter().enumerate() {
+fn incomplete_requests_of_any_kind_stay_within_the_memory_limit() {
+    for (index, IncompleteRequest { kind, .. }) in incomplete_requests(0).into_iter().enumerate() {
+        let (discovery, worker) = (DiscoveryAgent::new(AgentMode::Silent, &[]), Server::new("s-00000001"));
+        let scheduler = start(&discovery, &worker);
+        let requests = (0..CLIENT_COUNT).map(|number| incomplete_requests(number).swap_remove(index).text);
+        let peak = peak_memory_during(&scheduler, || drop(send_all(&scheduler, requests)));
+        println!("{kind}: peak {} KiB", peak >> 10);
+        assert!(peak < MEMORY_MB << 20, "{kind}: {peak} bytes of {MEMORY_MB} MB");
+    }
+}
+
+/// While clients that stop in the middle of requests are closed to make room, one that goes on sending a large request must
+/// be served.
+#[test]
+fn a_client_that_sends_a_large_request_slowly_is_not_displaced_by_incomplete_ones() {
+    for (index, IncompleteRequest { kind, fills_memory, .. }) in
+        incomplete_requests(0).into_iter().enumerate()
+    {
         let (discovery, worker) = (DiscoveryAgent::new(AgentMode::Silent, &[]), Server::new("s-00000001"));
         let scheduler = start(&discovery, &worker);
         let mut usual = scheduler.connect();
         let request = sized_request("a1", MAX_BODY);
-        let peak = peak_memory_during(&scheduler, || {
-            std::thread::scope(|scope| {
-                scope.spawn(|| {
-                    for part in request.as_bytes().chunks(4096) {
-                        usual.send(std::str::from_utf8(part).unwrap());
-                        std::thread::sleep(Duration::from_millis(10));
-                    }
-                });
-                let incomplete =
-                    (0..clients).map(|number| incomplete_requests(number).swap_remove(index).text);
-                let _connections = send_all(&scheduler, incomplete);
-                let mut forward = worker.accept();
-                assert!(forward.receive().contains("X-Correlation-Id: a1"), "{kind}");
-                forward.send(&response("202 Accepted", ""));
-            });
+        let all_sent = AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            scope.spawn(|| send_in_parts_until(&mut usual, &request, &all_sent));
+            let requests = (0..FEW_CLIENTS).map(|number| incomplete_requests(number).swap_remove(index).text);
+            let _connections = send_all(&scheduler, requests);
+            all_sent.store(true, Ordering::Relaxed);
+            let mut forward = worker.accept();
+            assert!(forward.receive().contains("X-Correlation-Id: a1"), "{kind}");
+            forward.send(&response("202 Accepted", ""));
         });
         scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"r"}"#);
         assert_eq!(usual.receive_response(), "HTTP/1.1 200 OK | r", "{kind}");
-        assert!(peak < MEMORY_MB << 20, "{kind}: {peak} bytes of {MEMORY_MB} MB");
-        let counters = scheduler.counters(&["bad_408", "memory_evictions"]);
-        println!("{kind}: peak {} KiB, {counters}", peak >> 10);
+        let evictions = scheduler.counters(&["memory_evictions"]);
+        assert_eq!(fills_memory, evictions != "memory_evictions=0", "{kind}: {evictions}");
     }
 }
