Hot restart: the last list before a process ends is always sent

Seen: found in reading the shared ids again. A process that has handed over sends its open requests when they have changed, looked at every 50 ms. A late request that is granted and answered in between is in no list, so the process ended without a new one, and its successor went on counting the id as in use until the deadline: a retry of an at-most-once request that had been refused got 400.

Change: with its Bye a process sends its list, changed or not, also where it ends by its time limit.

Evidence: a new file of tests acts as one of the two processes, so that each message arrives when the test says: a list that is outdated either way, no answer, a death while asked, claims that are denied, granted, asked about while pending, and unanswered, and the last list. The last failed before (no list came) and passes now; the others passed before. The end by the time limit was not run.

The test's end of the link moves from the pins to the harness, as both use it.

--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -119,7 +119,7 @@
             // Reads and answers what the kernel has received by now.
             tokio::time::sleep(Duration::from_millis(20)).await;
             if finished() && connections_closed() {
-                return;
+                return upgrade::say_goodbye(scheduler).await;
             }
         }
         tokio::time::sleep(CLOSE_INTERVAL).await;
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -68,18 +68,23 @@
         })
     }
 
-    /// Sends the open requests of this process to a successor that shares ids, unless they are the same as before.
-    fn send_open_requests(&self, scheduler: &Scheduler) {
+    /// Sends the open requests of this process to a successor that shares ids, if they have changed.
+    fn send_changed_open_requests(&self, scheduler: &Scheduler) {
         if !self.is_successor || !self.shares_ids {
             return;
         }
         let open_requests = open_requests::open_requests(scheduler);
         if *self.open_requests_sent.borrow() != open_requests {
-            self.link.send(&RestartMessage::OpenRequests(open_requests.clone()), None);
-            self.open_requests_sent.replace(open_requests);
+            self.send_open_requests(open_requests);
         }
     }
 
+    /// Sends the open requests of this process.
+    fn send_open_requests(&self, open_requests: Vec<OpenRequest>) {
+        self.link.send(&RestartMessage::OpenRequests(open_requests.clone()), None);
+        self.open_requests_sent.replace(open_requests);
+    }
+
     /// Hands over an idle connection of a client.
     pub fn hand_over_client(
         &self,
@@ -394,7 +399,7 @@
     spawn_local(async move {
         while !receiver.link.is_closed() {
             receiver.link.send(&RestartMessage::Usage(local_holds(&reporter)), None);
-            receiver.send_open_requests(&reporter);
+            receiver.send_changed_open_requests(&reporter);
             tokio::time::sleep(HOLDS_INTERVAL).await;
         }
     });
@@ -459,7 +464,7 @@
         {
             tracing::info!("upgrade: handed over, {} flows to finish", scheduler.book.borrow().unanswered());
             scheduler.upgrade.accepting_changed.notify_one();
-            process.send_open_requests(scheduler);
+            process.send_changed_open_requests(scheduler);
             process.link.send(&RestartMessage::Committed, None);
             for (to, descriptor, since) in scheduler.pool.take_all_idle() {
                 process.hand_over_target(scheduler, to, descriptor, since);
@@ -645,11 +650,18 @@
     while !is_finished(scheduler) {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
+    say_goodbye(scheduler).await;
+    tracing::info!("upgrade: finished");
+}
+
+/// Notifies the successor, if there is one, that this process ends, and of the requests that it leaves behind. The last
+/// list may be outdated even if it equals the present one, as the successor adds the requests that it grants.
+pub async fn say_goodbye(scheduler: &Rc<Scheduler>) {
+    let Some(successor) = scheduler.upgrade.successor() else { return };
     scheduler.upgrade.goodbye_sent.set(true);
-    if let Some(successor) = scheduler.upgrade.successor() {
-        successor.send_open_requests(scheduler);
-        successor.link.send(&RestartMessage::Bye, None);
-        let _ = tokio::time::timeout(ANSWER_TIMEOUT, successor.link.wait_flushed()).await;
+    if successor.shares_ids {
+        successor.send_open_requests(open_requests::open_requests(scheduler));
     }
-    tracing::info!("upgrade: finished");
+    successor.link.send(&RestartMessage::Bye, None);
+    let _ = tokio::time::timeout(ANSWER_TIMEOUT, successor.link.wait_flushed()).await;
 }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,6 +1,8 @@
 //! A test harness that runs the built program between scripted clients, targets and discovery on loopback.
 #![allow(dead_code, reason = "each test binary uses only some of the harness")]
 
+pub mod restart_link;
+
 use loomlb_fault_plan::FaultPlan;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/tests/pins/restart.rs
+++ b/tests/pins/restart.rs
@@ -2,52 +2,15 @@
 //! which a successor starts. The golden files of frames and messages are in the package `loomlb-hot-restart`.
 
 use crate::golden;
+use crate::harness::restart_link::RestartConnection;
 use crate::harness::{
     AgentMode, DiscoveryAgent, Platform, SchedulerProcess, Server, job, response, wait_until,
 };
-use loomlb_hot_restart::message::{FrameDecoder, PROTOCOL_VERSION, RestartMessage};
+use loomlb_hot_restart::message::{PROTOCOL_VERSION, RestartMessage};
 use serde_json::Value;
-use std::io::{Read, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// A connection to another process of the scheduler.
-struct RestartConnection {
-    stream: UnixStream,
-    frames: FrameDecoder,
-}
-
-impl RestartConnection {
-    fn new(stream: UnixStream) -> RestartConnection {
-        stream.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
-        RestartConnection { stream, frames: FrameDecoder::default() }
-    }
-    fn send(&mut self, message: &RestartMessage) {
-        self.stream.write_all(&message.encode(false).unwrap()).unwrap();
-    }
-    fn receive(&mut self) -> RestartMessage {
-        loop {
-            if let Some((message, _)) = self.frames.next_message().unwrap() {
-                return message;
-            }
-            let mut buffer = [0; 4096];
-            let length = self.stream.read(&mut buffer).unwrap();
-            assert!(length > 0, "the other process closed the connection");
-            self.frames.push(&buffer[..length]);
-        }
-    }
-}
-
-/// Requests the snapshot of the running process.
-fn request_snapshot(platform: &Platform, shares_ids: bool) -> Value {
-    let mut connection = RestartConnection::new(UnixStream::connect(platform.restart_socket()).unwrap());
-    connection.send(&RestartMessage::Hello { version: PROTOCOL_VERSION, shares_ids });
-    match connection.receive() {
-        RestartMessage::Snapshot(value) => value,
-        other => panic!("{other:?}"),
-    }
-}
-
 /// Masks numbers that differ from run to run: times, measurements and random weights.
 fn mask_numbers(value: &mut Value, key: &str) {
     match value {
@@ -79,7 +42,7 @@
     stage.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"r"}"#);
     client.receive();
     stage.control_request("PUT /control/out-of-service");
-    let mut value = request_snapshot(&platform, false);
+    let mut value = RestartConnection::greet(&platform, false).1;
     // The order of the entries is not defined.
     for list in ["/list/hosts", "/carried/workers"] {
         let entries = value.pointer_mut(list).and_then(Value::as_array_mut).unwrap();
@@ -102,7 +65,7 @@
     client.send(&job("lodge", "a1", "3.000"));
     let mut forward = target.accept();
     forward.receive();
-    let mut value = request_snapshot(&platform, true)["open_requests"].take();
+    let mut value = RestartConnection::greet(&platform, true).1["open_requests"].take();
     assert!(value[0]["deadline"].take().is_u64());
     assert_eq!(value.to_string(), r#"[{"at_most_once":true,"deadline":null,"id":"a1"}]"#);
 }
@@ -181,7 +144,7 @@
     let mut own_snapshot = Value::Null;
     wait_until("the successor opens its own hot-restart socket", || {
         if platform.restart_socket().exists() && UnixStream::connect(platform.restart_socket()).is_ok() {
-            own_snapshot = request_snapshot(&platform, false);
+            own_snapshot = RestartConnection::greet(&platform, false).1;
         }
         !own_snapshot.is_null()
     });
