Hot restart: ids of at-most-once requests stay in use when either process dies

Seen: found in reading the shared ids again. When a process dies beside the other, its jobs may still run. The ids of a dead predecessor's at-most-once requests stayed in use; those of a dead successor were unknown, so the process that accepts again admitted them and the jobs could run twice. What a dead predecessor had left was never forgotten, and a list of another one would have replaced it.

Change: a successor sends its open at-most-once requests to its predecessor. What a process leaves behind has a table of its own, which no list replaces and whose entries go at their deadlines.

--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -33,8 +33,9 @@
     /// The successor is ready to accept connections.
     #[serde(rename = "Ready")]
     Ready,
-    /// The requests that the predecessor has open, in place of those sent before. Sent to a successor that shares ids:
-    /// before [`RestartMessage::Committed`], and whenever they have changed.
+    /// The requests that the sender has open, in place of those sent before. Sent to a process that shares ids whenever they
+    /// have changed, and by the predecessor before [`RestartMessage::Committed`] and [`RestartMessage::Bye`]. The
+    /// successor sends at-most-once requests alone.
     #[serde(rename = "Open")]
     OpenRequests(Vec<OpenRequest>),
     /// The predecessor has stopped accepting connections.
--- a/crates/scheduler/src/upgrade.rs
+++ b/crates/scheduler/src/upgrade.rs
@@ -53,6 +53,8 @@
     shares_ids: bool,
     /// The open requests that were last sent to it.
     open_requests_sent: RefCell<Vec<OpenRequest>>,
+    /// The open at-most-once requests that it last sent, if it is the successor.
+    open_requests_received: RefCell<Vec<OpenRequest>>,
     /// The resources that it holds, as last reported.
     holds: RefCell<ResourceUsage>,
 }
@@ -64,16 +66,21 @@
             is_successor,
             shares_ids,
             open_requests_sent: RefCell::default(),
+            open_requests_received: RefCell::default(),
             holds: RefCell::default(),
         })
     }
 
-    /// Sends the open requests of this process to a successor that shares ids, if they have changed.
+    /// Sends the open requests of this process, if the other one shares ids and they have changed.
     fn send_changed_open_requests(&self, scheduler: &Scheduler) {
-        if !self.is_successor || !self.shares_ids {
+        if !self.shares_ids {
             return;
         }
-        let open_requests = open_requests::open_requests(scheduler);
+        let open_requests = if self.is_successor {
+            open_requests::open_requests(scheduler)
+        } else {
+            open_requests::at_most_once_requests(scheduler)
+        };
         if *self.open_requests_sent.borrow() != open_requests {
             self.send_open_requests(open_requests);
         }
@@ -428,6 +435,7 @@
     process.link.close();
     scheduler.upgrade.processes.borrow_mut().retain(|p| !Rc::ptr_eq(p, &process));
     clear_holds(&scheduler);
+    open_requests::process_ended(&scheduler, &process);
     if process.is_successor {
         if !scheduler.upgrade.goodbye_sent.get()
             && scheduler.upgrade.update_predecessor_state(state_machine::Predecessor::on_link_lost)
@@ -439,7 +447,6 @@
         }
         return;
     }
-    open_requests::forget_repeatable(&scheduler);
     match error {
         None => tracing::info!("upgrade: the predecessor has finished"),
         Some(e) => tracing::warn!("upgrade: lost the predecessor: {e}"),
@@ -471,9 +478,10 @@
             }
             scheduler.upgrade.hand_over_idle.notify_waiters();
         }
-        (RestartMessage::OpenRequests(requests), _) if !process.is_successor => {
-            open_requests::record(scheduler, requests);
+        (RestartMessage::OpenRequests(requests), _) if process.is_successor => {
+            process.open_requests_received.replace(requests);
         }
+        (RestartMessage::OpenRequests(requests), _) => open_requests::record(scheduler, requests),
         (RestartMessage::Committed, _)
             if !process.is_successor && !scheduler.upgrade.as_successor.get().accepts_connections() =>
         {
--- a/crates/scheduler/src/upgrade/open_requests.rs
+++ b/crates/scheduler/src/upgrade/open_requests.rs
@@ -4,6 +4,9 @@
 //! A predecessor sends its open requests before it hands over, and again whenever they have changed. Once it has handed
 //! over, the successor decides about ids: it asks the predecessor whether a request of the list is still open, and the
 //! predecessor asks it before it admits a request that comes on a connection that it still has.
+//!
+//! When one of them dies, its jobs may still run. The other one keeps the ids of those that must not run twice in use until
+//! their deadline; for that the successor sends its own open at-most-once requests to the predecessor.
 
 use super::super::Scheduler;
 use super::super::admit::{Offer, Rejection, UNAVAILABLE_RETRY_AFTER, is_valid_correlation_id};
@@ -12,39 +15,46 @@
 use loomlb_policy::{Idempotency, Nanos};
 use std::collections::HashMap;
 use std::rc::Rc;
+use tokio::task::spawn_local;
+
+/// Longest wait before requests that a process has left behind are looked through for those whose deadline has passed.
+const MAX_LEFT_BEHIND_WAIT: Nanos = 60_000_000_000;
 
 /// The requests that other processes have open, as far as is known here.
 #[derive(Debug, Default)]
 pub struct RequestsElsewhere {
-    by_id: HashMap<String, OpenRequest>,
-    /// Requests of this process that wait for the successor's grant.
+    /// Those of the predecessor's latest list, and those granted to it since.
+    of_predecessor: HashMap<String, OpenRequest>,
+    /// Those that processes which have ended left at workers.
+    left_behind: HashMap<String, OpenRequest>,
+    /// Those of this process that wait for the successor's grant.
     claimed: HashMap<String, OpenRequest>,
 }
 
 impl RequestsElsewhere {
-    /// Replaces the requests by those of the predecessor's latest list.
+    /// Replaces the predecessor's requests by those of its latest list.
     pub fn replace(&mut self, requests: Vec<OpenRequest>) {
-        self.by_id = requests.into_iter().map(|request| (request.id.clone(), request)).collect();
+        self.of_predecessor = requests.into_iter().map(|request| (request.id.clone(), request)).collect();
     }
 
-    /// Adds a request.
+    /// Adds a request of the predecessor.
     pub fn insert(&mut self, request: OpenRequest) {
-        self.by_id.insert(request.id.clone(), request);
+        self.of_predecessor.insert(request.id.clone(), request);
     }
 
-    /// Removes a request that has ended.
+    /// Removes a request of the predecessor that has ended.
     pub fn remove(&mut self, id: &str) {
-        self.by_id.remove(id);
+        self.of_predecessor.remove(id);
     }
 
-    /// Whether a request has this id and its deadline has not passed.
-    pub fn contains(&self, now: Nanos, id: &str) -> bool {
-        self.by_id.get(id).is_some_and(|request| request.deadline > now)
+    /// Whether the predecessor is known to have had this id open, and its deadline has not passed.
+    pub fn is_listed(&self, now: Nanos, id: &str) -> bool {
+        self.of_predecessor.get(id).is_some_and(|request| request.deadline > now)
     }
 
-    /// Removes the requests that may run again after their process has ended.
-    pub fn remove_repeatable(&mut self) {
-        self.by_id.retain(|_, request| request.at_most_once);
+    /// Whether a process that has ended left a request with this id, and its deadline has not passed.
+    pub fn is_left_behind(&self, now: Nanos, id: &str) -> bool {
+        self.left_behind.get(id).is_some_and(|request| request.deadline > now)
     }
 
     /// Adds a request of this process for which the successor's grant is requested.
@@ -62,26 +72,57 @@
         self.claimed.contains_key(id)
     }
 
+    /// Records that the predecessor has ended, with the requests that it left behind.
+    pub fn end_predecessor(&mut self, now: Nanos) {
+        let requests = std::mem::take(&mut self.of_predecessor);
+        self.leave_behind(now, requests.into_values());
+    }
+
+    /// Adds the requests that a process left behind. Only those that must not run twice count.
+    pub fn leave_behind(&mut self, now: Nanos, requests: impl IntoIterator<Item = OpenRequest>) {
+        let kept = requests.into_iter().filter(|request| request.at_most_once && request.deadline > now);
+        self.left_behind.extend(kept.map(|request| (request.id.clone(), request)));
+    }
+
+    /// Removes requests left behind whose deadline has passed. Returns the earliest deadline of the others.
+    pub fn remove_expired(&mut self, now: Nanos) -> Option<Nanos> {
+        self.left_behind.retain(|_, request| request.deadline > now);
+        self.left_behind.values().map(|request| request.deadline).min()
+    }
+
     /// The requests whose deadline has not passed, with the claimed ones.
     pub fn requests(&self, now: Nanos) -> impl Iterator<Item = &OpenRequest> {
-        self.by_id.values().chain(self.claimed.values()).filter(move |request| request.deadline > now)
+        let all = self.of_predecessor.values().chain(self.left_behind.values()).chain(self.claimed.values());
+        all.filter(move |request| request.deadline > now)
     }
 }
 
-/// The requests that this process and its predecessors have open.
+/// The requests that this process and its predecessors have open, for its successor.
 pub(super) fn open_requests(scheduler: &Scheduler) -> Vec<OpenRequest> {
+    let elsewhere = scheduler.upgrade.open_elsewhere.borrow();
+    let mut requests = own_requests(scheduler);
+    requests.extend(elsewhere.requests(scheduler.clock.now()).cloned());
+    requests
+}
+
+/// The requests that this process has open and that must not run twice, for its predecessor.
+pub(super) fn at_most_once_requests(scheduler: &Scheduler) -> Vec<OpenRequest> {
+    let mut requests = own_requests(scheduler);
+    requests.retain(|request| request.at_most_once);
+    requests
+}
+
+fn own_requests(scheduler: &Scheduler) -> Vec<OpenRequest> {
     let (settings, book) = (scheduler.settings(), scheduler.book.borrow());
+    let classes = &settings.policy.classes;
     let own = book.flows().map(|flow| OpenRequest {
         id: String::from_utf8_lossy(&flow.job.correlation_id).into_owned(),
         deadline: flow.deadline,
-        at_most_once: settings
-            .policy
-            .classes
+        at_most_once: classes
             .get(flow.class)
             .is_none_or(|class| class.idempotency == Idempotency::AtMostOnce),
     });
-    let elsewhere = scheduler.upgrade.open_elsewhere.borrow();
-    own.chain(elsewhere.requests(scheduler.clock.now()).cloned()).collect()
+    own.collect()
 }
 
 /// Records the list of requests that the predecessor has open.
@@ -100,18 +141,38 @@
     is_open_here(scheduler, id) || is_open_elsewhere(scheduler, id).await
 }
 
-/// Forgets the ids that may be used again after a process has ended. The ids of requests that must not run twice stay in
-/// use until their deadline.
-pub(super) fn forget_repeatable(scheduler: &Scheduler) {
-    scheduler.upgrade.open_elsewhere.borrow_mut().remove_repeatable();
+/// Records that a process has ended. Requests that it left behind and that must not run twice keep their ids in use until
+/// their deadline.
+pub(super) fn process_ended(scheduler: &Rc<Scheduler>, process: &OtherProcess) {
+    let now = scheduler.clock.now();
+    let mut elsewhere = scheduler.upgrade.open_elsewhere.borrow_mut();
+    if process.is_successor {
+        elsewhere.leave_behind(now, process.open_requests_received.take());
+    } else {
+        elsewhere.end_predecessor(now);
+    }
+    let Some(first_deadline) = elsewhere.remove_expired(now) else { return };
+    spawn_local(forget_expired(Rc::clone(scheduler), first_deadline));
+}
+
+/// Forgets the requests that processes have left behind as their deadlines pass.
+async fn forget_expired(scheduler: Rc<Scheduler>, first_deadline: Nanos) {
+    let mut next_deadline = Some(first_deadline);
+    while let Some(deadline) = next_deadline {
+        let latest = scheduler.clock.now().saturating_add(MAX_LEFT_BEHIND_WAIT);
+        tokio::time::sleep_until(scheduler.clock.instant(deadline.min(latest))).await;
+        let now = scheduler.clock.now();
+        next_deadline = scheduler.upgrade.open_elsewhere.borrow_mut().remove_expired(now);
+    }
 }
 
 /// Checks that no other process of this scheduler uses the id of an offer, and reserves it where another process decides
 /// about ids. Takes the time that this needs off the client's.
 pub async fn check_id(scheduler: &Rc<Scheduler>, offer: &mut Offer) -> Result<(), Rejection> {
     let started = scheduler.clock.now();
+    // Admission rejects it.
     if !is_valid_correlation_id(&offer.job.correlation_id) {
-        return Err(Rejection::Invalid("missing or bad id"));
+        return Ok(());
     }
     if is_open(scheduler, &String::from_utf8_lossy(&offer.job.correlation_id)).await {
         return Err(Rejection::IdInUse);
@@ -122,22 +183,25 @@
     Ok(())
 }
 
-/// Whether a predecessor has a request with this id open. One that does not answer may have it.
+/// Whether another process has a request with this id open, or left one behind. A predecessor that does not answer may
+/// have it.
 async fn is_open_elsewhere(scheduler: &Rc<Scheduler>, id: &str) -> bool {
-    let contains = || scheduler.upgrade.open_elsewhere.borrow().contains(scheduler.clock.now(), id);
-    if !contains() {
+    let is_left_behind =
+        || scheduler.upgrade.open_elsewhere.borrow().is_left_behind(scheduler.clock.now(), id);
+    let is_listed = || scheduler.upgrade.open_elsewhere.borrow().is_listed(scheduler.clock.now(), id);
+    if is_left_behind() {
+        return true;
+    }
+    if !is_listed() {
         return false;
     }
     let predecessors = predecessors(scheduler);
-    if !predecessors.is_empty() {
-        let answer = query(scheduler, &ForwardedRequest::IsOpen(id.to_string()), &predecessors).await;
-        // A predecessor that has ended meanwhile may have left the request at a worker.
-        let all_answered = predecessors.iter().all(|process| !process.link.is_closed());
-        if answer == Some(false) && all_answered {
-            scheduler.upgrade.open_elsewhere.borrow_mut().remove(id);
-        }
+    let answer = query(scheduler, &ForwardedRequest::IsOpen(id.to_string()), &predecessors).await;
+    // One that has ended meanwhile has not answered; what it left behind is known here by now.
+    if answer == Some(false) && predecessors.iter().all(|process| !process.link.is_closed()) {
+        scheduler.upgrade.open_elsewhere.borrow_mut().remove(id);
     }
-    contains()
+    is_listed() || is_left_behind()
 }
 
 /// The predecessors that can be asked about ids.
@@ -192,3 +256,6 @@
     }
     granted == Some(true)
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/harness/restart_link.rs
+++ b/tests/harness/restart_link.rs
@@ -1,13 +1,13 @@
 //! The test's end of the link between two processes of a hot restart, so that a test can act as either of them.
 
-use super::{Platform, wait_until};
+use super::{Platform, TIMEOUT, wait_until};
 use loomlb_hot_restart::message::{
     ForwardedRequest, FrameDecoder, OpenRequest, PROTOCOL_VERSION, RestartMessage,
 };
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::time::Duration;
+use std::time::Instant;
 
 /// A connection to another process of the scheduler.
 pub struct RestartConnection {
@@ -17,7 +17,7 @@
 
 impl RestartConnection {
     pub fn new(stream: UnixStream) -> RestartConnection {
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         RestartConnection { stream, frames: FrameDecoder::default() }
     }
     pub fn send(&mut self, message: &RestartMessage) {
@@ -34,22 +34,34 @@
             self.frames.push(&buffer[..length]);
         }
     }
-    /// Receives the next message that is no report of resources.
-    pub fn receive_event(&mut self) -> RestartMessage {
-        loop {
-            match self.receive() {
-                RestartMessage::Usage(_) => {}
-                message => return message,
+    /// Receives messages until one is what the test waits for, and returns what `select` makes of it. Panics if none is in
+    /// time; reports of resources arrive all the while.
+    pub fn receive_until<T>(&mut self, what: &str, select: impl Fn(RestartMessage) -> Option<T>) -> T {
+        let start = Instant::now();
+        while start.elapsed() < TIMEOUT {
+            if let Some(selected) = select(self.receive()) {
+                return selected;
             }
         }
+        panic!("{what}: not within {TIMEOUT:?}");
+    }
+    /// Receives this message, skipping others.
+    pub fn expect(&mut self, expected: &RestartMessage) {
+        self.receive_until("a message", |message| (message == *expected).then_some(()));
     }
-    /// Receives the next request of the other process, skipping all else, and returns it with its number.
+    /// Receives the next request of the other process and returns it with its number.
     pub fn receive_request(&mut self) -> (u64, ForwardedRequest) {
-        loop {
-            if let RestartMessage::Request(number, request) = self.receive() {
-                return (number, request);
-            }
-        }
+        self.receive_until("a request", |message| match message {
+            RestartMessage::Request(number, request) => Some((number, request)),
+            _ => None,
+        })
+    }
+    /// Receives the next list of open requests.
+    pub fn receive_list(&mut self) -> Vec<OpenRequest> {
+        self.receive_until("a list of open requests", |message| match message {
+            RestartMessage::OpenRequests(list) => Some(list),
+            _ => None,
+        })
     }
     /// Connects to the running process, and returns the connection with its snapshot. As a successor of an earlier build
     /// the test does not share ids.
@@ -65,7 +77,7 @@
     pub fn take_over(platform: &Platform) -> RestartConnection {
         let (mut connection, _) = RestartConnection::greet(platform, true);
         connection.send(&RestartMessage::Ready);
-        while connection.receive() != RestartMessage::Committed {}
+        connection.expect(&RestartMessage::Committed);
         connection
     }
     /// Waits for a successor, sends it this snapshot and hands over to it.
@@ -73,7 +85,7 @@
         let mut connection = RestartConnection::new(listener.accept().unwrap().0);
         assert!(matches!(connection.receive(), RestartMessage::Hello { .. }));
         connection.send(&RestartMessage::Snapshot(snapshot));
-        while connection.receive() != RestartMessage::Ready {}
+        connection.expect(&RestartMessage::Ready);
         connection.send(&RestartMessage::Committed);
         connection
     }
--- a/tests/open_requests.rs
+++ b/tests/open_requests.rs
@@ -6,6 +6,7 @@
 use harness::restart_link::{RestartConnection, listen_in_place, open_request};
 use harness::{HttpConnection, Platform, SchedulerProcess, Server, job, response};
 use loomlb_hot_restart::message::{ForwardedRequest, OpenRequest, RestartMessage};
+use std::cell::RefCell;
 use std::os::unix::net::UnixListener;
 
 const IN_USE: &str = "HTTP/1.1 400 Bad Request | id already in use";
@@ -142,10 +143,28 @@
     assert_eq!(send(&successor, "lodge", "a1").receive_response(), IN_USE);
 }
 
+/// The predecessor has to know them should its successor die.
+#[test]
+fn a_successor_sends_its_open_at_most_once_requests_to_its_predecessor() {
+    let mut stage = SuccessorStage::start(&[]);
+    let mut running = [("view", "a1"), ("lodge", "a2")].map(|(class, id)| {
+        let client = send(&stage.successor, class, id);
+        (client, run_job(&stage.target, id))
+    });
+    let sent = stage.predecessor.receive_list();
+    assert_eq!(sent.len(), 1, "{sent:?}");
+    assert!(sent[0].id == "a2" && sent[0].at_most_once, "{sent:?}");
+    for (client, call_back) in &mut running {
+        stage.successor.call_back(call_back);
+        assert!(client.receive_response().starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(stage.predecessor.receive_list(), []);
+}
+
 /// A predecessor that handed over, whose successor is the test, which took over while requests arrived.
 struct PredecessorStage {
     target: Server,
-    _predecessor: SchedulerProcess,
+    predecessor: SchedulerProcess,
     successor: RestartConnection,
     late: Vec<HttpConnection>,
     _discovery: Server,
@@ -161,14 +180,7 @@
         predecessor.wait_until_ready();
         let late = ids.iter().map(|id| send_head(&predecessor, "lodge", id)).collect();
         let successor = RestartConnection::take_over(&platform);
-        PredecessorStage {
-            target,
-            _predecessor: predecessor,
-            successor,
-            late,
-            _discovery: discovery,
-            _platform: platform,
-        }
+        PredecessorStage { target, predecessor, successor, late, _discovery: discovery, _platform: platform }
     }
     /// Runs a job at the target. Its call-back arrives at the successor, which passes it on.
     fn serve(&mut self, id: &str) {
@@ -195,7 +207,7 @@
     let number = stage.receive_claim("a2");
     // While the claim is pending the successor may ask about the id in turn.
     stage.successor.send(&RestartMessage::Request(1, ForwardedRequest::IsOpen("a2".into())));
-    while stage.successor.receive() != RestartMessage::Response(1, true) {}
+    stage.successor.expect(&RestartMessage::Response(1, true));
     stage.successor.send(&RestartMessage::Response(number, true));
     stage.serve("a2");
     assert!(stage.late[1].receive_response().ends_with("a2"));
@@ -214,13 +226,38 @@
     stage.successor.send(&RestartMessage::Response(number, true));
     stage.serve("a1");
     assert!(stage.late[0].receive_response().ends_with("a1"));
-    let mut last_list = None;
-    loop {
-        match stage.successor.receive_event() {
-            RestartMessage::Bye => break,
-            RestartMessage::OpenRequests(list) => last_list = Some(list),
-            _ => {}
+    let last_list = RefCell::new(None);
+    stage.successor.receive_until("the end of the process", |message| match message {
+        RestartMessage::Bye => Some(()),
+        RestartMessage::OpenRequests(list) => {
+            last_list.replace(Some(list));
+            None
         }
+        _ => None,
+    });
+    assert_eq!(last_list.take(), Some(Vec::new()), "the successor still counts the id as in use");
+}
+
+/// A process whose successor dies accepts requests again. Jobs of the successor that must not run twice may still run.
+#[test]
+fn ids_of_a_successor_that_dies_stay_in_use_if_they_must_not_run_twice() {
+    let mut stage = PredecessorStage::start(&["a1"]);
+    stage.successor.send(&RestartMessage::OpenRequests(vec![
+        open_request("b1", FAR_DEADLINE, true),
+        open_request("b2", FAR_DEADLINE, false),
+        open_request("b3", PAST_DEADLINE, true),
+    ]));
+    stage.late[0].send("hi");
+    stage.receive_claim("a1");
+    drop(stage.successor);
+    stage.predecessor.wait_for_log("lost the successor");
+    // With the successor gone the process decides about ids itself again.
+    serve(&stage.predecessor, &stage.target, "a1");
+    assert!(stage.late[0].receive_response().ends_with("a1"));
+    assert_eq!(send(&stage.predecessor, "lodge", "b1").receive_response(), IN_USE);
+    for (class, id) in [("view", "b2"), ("lodge", "b3")] {
+        let mut client = send(&stage.predecessor, class, id);
+        serve(&stage.predecessor, &stage.target, id);
+        assert!(client.receive_response().ends_with(id));
     }
-    assert_eq!(last_list, Some(Vec::new()), "the successor still counts the id as in use");
 }
