Tests: the crossing of a handover is forced, and a job after SIGTERM is written once

Need: the test of requests in parts over a handover waited 50 ms for the predecessor to have read the first part, and would have passed without a crossing where it had not. Two tests of shutdowns had the same ten lines.

Change: the client asks for 100 Continue, whose arrival shows that the head was read, and the test checks that no connection was handed over. The ten lines are one function.

--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -308,6 +308,18 @@
     });
 }
 
+/// Ends the process by SIGTERM, and checks that it serves a job that is sent this much later on an open connection.
+fn assert_serves_a_job_after_sigterm(scheduler: &SchedulerProcess, target: &Server, delay: Duration) {
+    let mut late = scheduler.connect();
+    late.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert!(late.receive_response().ends_with("ready"));
+    scheduler.signal("TERM");
+    std::thread::sleep(delay);
+    late.send(&job("view", "a1", "1.000"));
+    accept_and_serve(scheduler, target, "a1");
+    assert!(late.receive_response().ends_with("a1"));
+}
+
 /// The same for a reload that makes the longest deadline longer: jobs are taken for as long as the kill allows.
 #[test]
 fn a_shutdown_takes_jobs_for_longer_after_a_reload_with_a_longer_deadline() {
@@ -318,17 +330,7 @@
     scheduler.wait_for_log("configuration reloaded");
     scheduler.reload(VIEW_OF_1_S, &VIEW_OF_1_S.replace("1000000000", "3000000000"));
     scheduler.wait_for_log("configuration reloaded");
-    let mut late = scheduler.connect();
-    late.send("GET /healthz HTTP/1.1\r\n\r\n");
-    assert!(late.receive_response().ends_with("ready"));
-    scheduler.signal("TERM");
-    std::thread::sleep(Duration::from_millis(2_000));
-    late.send(&job("view", "a1", "1.000"));
-    let mut forward = target.accept();
-    assert!(forward.receive().contains("a1"));
-    forward.send(&response("202 Accepted", ""));
-    scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"a1"}"#);
-    assert!(late.receive_response().ends_with("a1"));
+    assert_serves_a_job_after_sigterm(&scheduler, &target, Duration::from_millis(2_000));
 }
 
 /// A scheduler that a reload had made the only one still left half of the time before the kill to other schedulers, and
@@ -343,16 +345,6 @@
     );
     scheduler.reload("\"balancers\":2", "\"balancers\":1");
     scheduler.wait_for_log("configuration reloaded");
-    let mut late = scheduler.connect();
-    late.send("GET /healthz HTTP/1.1\r\n\r\n");
-    assert!(late.receive_response().ends_with("ready"));
-    scheduler.signal("TERM");
     // Between half of the 3 s that count and the 3.3 s up to which the only scheduler takes jobs.
-    std::thread::sleep(Duration::from_millis(2_700));
-    late.send(&job("view", "a1", "1.000"));
-    let mut forward = target.accept();
-    assert!(forward.receive().contains("a1"));
-    forward.send(&response("202 Accepted", ""));
-    scheduler.call_back(r#"{"id":"a1","from":"s-00000001","state":"done","result":"a1"}"#);
-    assert!(late.receive_response().ends_with("a1"));
+    assert_serves_a_job_after_sigterm(&scheduler, &target, Duration::from_millis(2_700));
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -159,24 +159,28 @@
     let predecessor = SchedulerProcess::start_on_platform(&[&target], &discovery, &platform);
     predecessor.wait_until_ready();
     let requests = [job("lodge", "a1", "4.900"), job("lodge", "b1", "4.900")];
-    let mut halves: Vec<HttpConnection> = Vec::new();
+    let mut late: Vec<HttpConnection> = Vec::new();
     for request in &requests {
         let mut client = predecessor.connect();
-        client.send(&request[..request.len() - 1]);
-        halves.push(client);
+        client.send(
+            &request
+                .replace("Content-Length: 2\r\n\r\nhi", "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"),
+        );
+        // The predecessor has read the head, so it keeps the connection at the handover.
+        assert!(client.receive().starts_with("HTTP/1.1 100"));
+        late.push(client);
     }
-    // The connections are no longer idle once the requests have been received in part.
-    std::thread::sleep(Duration::from_millis(50));
     let successor = replace_process(&target, &discovery, &platform);
+    assert_eq!(predecessor.counters(&["passed_on"]), "passed_on=0");
     let mut usual = successor.connect();
     usual.send(&requests[1]);
     accept_on_new_connection(&target, "b1");
-    halves[1].send("i");
-    assert_eq!(halves[1].receive_response(), IN_USE, "the predecessor admits an id of the successor");
-    halves[0].send("i");
+    late[1].send("hi");
+    assert_eq!(late[1].receive_response(), IN_USE, "the predecessor admits an id of the successor");
+    late[0].send("hi");
     accept_on_new_connection(&target, "a1");
     assert_eq!(successor.request(&requests[0]), IN_USE, "the successor admits an id of the predecessor");
-    for (client, id) in [(&mut halves[0], "a1"), (&mut usual, "b1")] {
+    for (client, id) in [(&mut late[0], "a1"), (&mut usual, "b1")] {
         assert!(successor.call_back(&done_call_back(&target, id)).ends_with("noted"));
         assert!(client.receive_response().ends_with(id));
     }
