--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -58,11 +58,25 @@
     let _ = std::fs::write(work_folder().join("pids"), text.join("\n") + "\n");
 }
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+
+/// Sends a signal to a process that this program started.
+pub fn signal_process(id: u32, signal: i32) {
+    // SAFETY: a plain system call.
+    unsafe { kill(id as i32, signal) };
+}
+
 /// Ends all schedulers and then this program, with this status.
 pub fn end(status: i32) -> ! {
     let running = RUNNING.lock().unwrap().clone();
     for id in running {
-        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+        signal_process(id, SIGKILL);
     }
     std::process::exit(status);
 }
@@ -388,8 +402,8 @@
         }
         cannot_run(record, "the scheduler is not ready");
     }
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+    pub fn signal(&self, signal: i32) {
+        signal_process(self.child.id(), signal);
     }
     /// Whether it has ended by then.
     pub fn ends_within(&mut self, seconds: f64) -> bool {
--- a/review/stand-ins-2/endless_answers.rs
+++ b/review/stand-ins-2/endless_answers.rs
@@ -76,7 +76,7 @@
                 if now > MEMORY_MB * 1024 {
                     record.line(format!("the platform kills the scheduler: {now} kB"));
                     killed.store(true, Ordering::SeqCst);
-                    let _ = std::process::Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+                    signal_process(id, SIGKILL);
                     return;
                 }
                 std::thread::sleep(Duration::from_millis(5));
--- a/review/stand-ins-2/second_answer.rs
+++ b/review/stand-ins-2/second_answer.rs
@@ -84,7 +84,7 @@
             sleep(SPACING);
         }
         clients.into_iter().for_each(|client| _ = client.join());
-        scheduler.signal("TERM");
+        scheduler.signal(SIGTERM);
         scheduler.ends_within(4.0);
     }
     let served = answers.lock().unwrap().values().filter(|status| **status == 200).count();
--- a/review/stand-ins-2/told_twice.rs
+++ b/review/stand-ins-2/told_twice.rs
@@ -125,7 +125,7 @@
             .collect();
         clients.into_iter().for_each(|client| _ = client.join());
         sleep(0.3);
-        scheduler.signal("TERM");
+        scheduler.signal(SIGTERM);
         scheduler.ends_within(4.5);
     }
     let again = again.lock().unwrap().clone();
